--- /dev/null
+++ b/cmd/cyclamenpoint/main.go
@@ -0,0 +1,4 @@
+// Command cyclamenpoint runs an entry node and the operators' commands.
+package main
+
+func main() {}
