--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -10,7 +10,7 @@
 	// Name identifies the deployment, such as "zilina".
 	Name string `yaml:"name" json:"name"`
 	// Models are the models that callers may ask for.
-	Models []Model `yaml:"models" json:"models,omitempty"`
+	Models []Model `yaml:"models,omitempty" json:"models,omitempty"`
 	// Groups are the rank groups that run in lock-step.
 	Groups []Group `yaml:"groups,omitempty" json:"groups,omitempty"`
 	// Services are the plain services that requests are routed to.
@@ -163,7 +163,7 @@
 	// Share is the organisation's weight in fair queues.
 	Share int `yaml:"share" json:"share"`
 	// Limits bound what the organisation may use.
-	Limits Limits `yaml:"limits" json:"limits"`
+	Limits Limits `yaml:"limits,omitempty" json:"limits,omitempty"`
 }
 
 // Limits bound an organisation over all entry nodes together. Zero means no
--- /dev/null
+++ b/deployment/lookup.go
@@ -0,0 +1,108 @@
+package deployment
+
+// Model returns the model called name, or nil.
+func (d *Deployment) Model(name string) *Model {
+	for i := range d.Models {
+		if d.Models[i].Name == name {
+			return &d.Models[i]
+		}
+	}
+	return nil
+}
+
+// Service returns the service called name, or nil.
+func (d *Deployment) Service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// Endpoint returns the endpoint called name, or nil.
+func (d *Deployment) Endpoint(name string) *Endpoint {
+	for i := range d.Endpoints {
+		if d.Endpoints[i].Name == name {
+			return &d.Endpoints[i]
+		}
+	}
+	return nil
+}
+
+// Organisation returns the organisation called name, or nil.
+func (d *Deployment) Organisation(name string) *Organisation {
+	for i := range d.Organisations {
+		if d.Organisations[i].Name == name {
+			return &d.Organisations[i]
+		}
+	}
+	return nil
+}
+
+// Group returns the rank group called name, or nil.
+func (d *Deployment) Group(name string) *Group {
+	for i := range d.Groups {
+		if d.Groups[i].Name == name {
+			return &d.Groups[i]
+		}
+	}
+	return nil
+}
+
+// Ranks returns the endpoints of a group in the order of their ranks.
+func (d *Deployment) Ranks(group string) []Endpoint {
+	var ranks []Endpoint
+	for _, e := range d.Endpoints {
+		if e.Kind == KindEngine && e.Group == group {
+			ranks = append(ranks, e)
+		}
+	}
+	ordered := make([]Endpoint, len(ranks))
+	for _, e := range ranks {
+		ordered[e.Rank] = e
+	}
+	return ordered
+}
+
+// ModelOf returns the model that an engine serves, or "" for a service worker.
+func (d *Deployment) ModelOf(e *Endpoint) string {
+	g := d.Group(e.Group)
+	if g == nil {
+		return ""
+	}
+	return g.Model
+}
+
+// EffectiveWeight returns the endpoint's drain weight from 0 to 100 after the
+// weights of its VM and failure domain.
+func (d *Deployment) EffectiveWeight(e *Endpoint) int {
+	weight := e.Weight
+	for _, w := range d.Weights {
+		if w.covers(e) {
+			weight = weight * w.Percent / fullWeight
+		}
+	}
+	return weight
+}
+
+// covers tells whether the weight applies to e.
+func (w Weight) covers(e *Endpoint) bool {
+	switch w.Scope {
+	case ScopeVM:
+		return w.Name == e.VM
+	case ScopeFailureDomain:
+		return w.Name == e.FailureDomain
+	}
+	return false
+}
+
+// Route returns the route of the service for a method and path, or nil.
+func (s *Service) Route(method, path string) *Route {
+	for i := range s.Routes {
+		if s.Routes[i].Method == method && s.Routes[i].Path == path {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
