attempt: a ledger that may say not run

The agent's ledger takes each attempt once, leaves tombstones for revocations and forgets by the age of a stamp of its own clock that the entry echoes, so that no clocks of two VMs are compared. A duplicate is proof of not-run only if the first delivery was refused or revoked.

--- /dev/null
+++ b/attempt/ledger_test.go
@@ -0,0 +1,94 @@
+package attempt
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func newLedger(t *testing.T, capacity int) *Ledger {
+	t.Helper()
+	l, err := New(Config{Incarnation: 7, Window: time.Minute, Capacity: capacity})
+	assert.NilError(t, err)
+	return l
+}
+
+// TestDuplicateProof: a duplicate is proof only if the attempt never runs.
+func TestDuplicateProof(t *testing.T) {
+	cases := []struct {
+		state State
+		move  func(*Ledger, *Attempt)
+		proof Proof
+	}{
+		{Queued, func(*Ledger, *Attempt) {}, ProofNone},
+		{Running, func(_ *Ledger, a *Attempt) { _ = a.Start() }, ProofNone},
+		{Finished, func(_ *Ledger, a *Attempt) { _ = a.Start(); a.Finish(true) }, ProofNone},
+		{Failed, func(_ *Ledger, a *Attempt) { _ = a.Start(); a.Finish(false) }, ProofNone},
+		{Refused, func(_ *Ledger, a *Attempt) { a.Refuse() }, ProofAttempt},
+		{Revoked, func(l *Ledger, a *Attempt) { l.Revoke(a.id, Address{7, a.stamp}) }, ProofAttempt},
+	}
+	for _, c := range cases {
+		t.Run(c.state.String(), func(t *testing.T) {
+			l := newLedger(t, 10)
+			id := ID{"r", 1}
+			addr := l.Address()
+			a, err := l.Arrive(id, addr)
+			assert.NilError(t, err)
+			c.move(l, a)
+			assert.Equal(t, a.State(), c.state)
+			_, err = l.Arrive(id, addr)
+			assert.Equal(t, err.(*RejectedError).Proof, c.proof)
+			assert.Equal(t, err.(*RejectedError).Outcome(2) == NotRun, c.proof == ProofAttempt)
+		})
+	}
+}
+
+// TestBounded: a flood never holds more than the capacity, and what was
+// forgotten is still refused.
+func TestBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, 8)
+		for i := range uint32(1000) {
+			time.Sleep(time.Millisecond)
+			addr := l.Address()
+			a, err := l.Arrive(ID{"r", i}, addr)
+			assert.NilError(t, err)
+			assert.NilError(t, a.Start())
+			a.Finish(true)
+			assert.Assert(t, l.Len() <= 8)
+		}
+		_, err := l.Arrive(ID{"r", 3}, Address{7, Stamp(4 * time.Millisecond)})
+		assert.Equal(t, err.(*RejectedError).Reason, ReasonStale)
+		assert.Equal(t, l.Revoke(ID{"r", 3}, Address{7, Stamp(4 * time.Millisecond)}), Unknown)
+	})
+}
+
+// TestExpiry: after the window the ledger is empty again.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger(t, 1000)
+		for i := range uint32(100) {
+			l.Revoke(ID{"r", i}, l.Address())
+		}
+		assert.Equal(t, l.Len(), 100)
+		time.Sleep(time.Minute + time.Second)
+		l.Revoke(ID{"other", 1}, Address{Incarnation: 6})
+		l.Revoke(ID{"other", 1}, l.Address())
+		assert.Equal(t, l.Len(), 1)
+	})
+}
+
+func BenchmarkArrive(b *testing.B) {
+	l, _ := New(Config{Incarnation: 7, Window: DefaultWindow, Capacity: DefaultCapacity})
+	b.ReportAllocs()
+	for i := range b.N {
+		a, err := l.Arrive(ID{"request", uint32(i)}, l.Address())
+		if err != nil {
+			continue
+		}
+		_ = a.Start()
+		a.Finish(true)
+	}
+}
