--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,141 @@
+// Package agent is the process beside an endpoint. It is the authority on that
+// endpoint: it alone decides which attempts reach it, and it alone can prove
+// that an attempt did not run.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/admission"
+	"github.com/cyclamenpoint/cyclamenpoint/attempt"
+	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/decision"
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+)
+
+// Options describe an agent.
+type Options struct {
+	// Endpoint is the endpoint's name in the configuration.
+	Endpoint string
+	// Address is the endpoint's own address, as IP:port.
+	Address string
+	// Slots is how many requests the endpoint runs at once.
+	Slots int
+	// Incarnation differs in each start of the agent and grows.
+	Incarnation uint64
+	// Config holds the configuration in force.
+	Config *config.Holder
+	// Decisions takes the agent's decisions.
+	Decisions *decision.Log
+}
+
+// Agent serves the attempts for one endpoint. It is safe for many goroutines.
+type Agent struct {
+	opts   Options
+	ledger *attempt.Ledger
+	queue  *admission.Queue
+	client *engine.Client
+	watch  *watch
+}
+
+// New returns an agent. Run must be called for it to notice its endpoint's
+// condition.
+func New(opts Options) (*Agent, error) {
+	ledger, err := attempt.New(attempt.Config{
+		Incarnation: opts.Incarnation,
+		Window:      attempt.DefaultWindow,
+		Capacity:    attempt.DefaultCapacity,
+	})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	queue, err := admission.New(admission.Config{
+		Endpoint:   opts.Endpoint,
+		Slots:      opts.Slots,
+		Queue:      admission.DefaultQueue,
+		CostTime:   admission.DefaultCostTime,
+		DrainGrace: admission.DefaultDrainGrace,
+	})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	client := engine.NewClient(opts.Address)
+	return &Agent{
+		opts:   opts,
+		ledger: ledger,
+		queue:  queue,
+		client: client,
+		watch:  newWatch(client, queue, opts.Endpoint),
+	}, nil
+}
+
+// Run watches the endpoint until ctx ends.
+func (a *Agent) Run(ctx context.Context) { a.watch.run(ctx) }
+
+// Drain refuses new attempts and returns when none runs any more.
+func (a *Agent) Drain(ctx context.Context) error {
+	return errors.WithStack(a.queue.Drain(ctx))
+}
+
+// Handler returns the agent's interface for entry nodes.
+func (a *Agent) Handler() (string, http.Handler) {
+	return cyclamenpointv1connect.NewAgentServiceHandler(a)
+}
+
+// Load returns the endpoint's load now.
+func (a *Agent) Load() *pb.ProbeResponse {
+	load := a.queue.Load()
+	address := a.ledger.Address()
+	return &pb.ProbeResponse{
+		Endpoint:    a.opts.Endpoint,
+		Incarnation: address.Incarnation,
+		Stamp:       int64(address.Stamp),
+		Queued:      uint32(load.Queued),
+		Running:     uint32(load.Running),
+		Slots:       uint32(load.Slots),
+		WaitMillis:  uint32(load.Wait / time.Millisecond),
+		Draining:    load.Draining,
+		Down:        load.Down,
+	}
+}
+
+// Probe reports the endpoint's load and how many of the asked prefixes it
+// holds.
+func (a *Agent) Probe(_ context.Context, req *connect.Request[pb.ProbeRequest]) (*connect.Response[pb.ProbeResponse], error) {
+	load := a.Load()
+	load.Matched = a.watch.matched(req.Msg.GetPrefixes())
+	return connect.NewResponse(load), nil
+}
+
+// Revoke asks that an attempt never run.
+func (a *Agent) Revoke(_ context.Context, req *connect.Request[pb.RevokeRequest]) (*connect.Response[pb.RevokeResponse], error) {
+	m := req.Msg
+	outcome := a.ledger.Revoke(idOf(m.GetAttempt()), attempt.Address{
+		Incarnation: m.GetIncarnation(), Stamp: attempt.Stamp(m.GetStamp()),
+	})
+	a.opts.Decisions.Add(decision.Admission, m.GetAttempt().GetRequestId(),
+		"attempt %d revoked at endpoint %s: %s.", m.GetAttempt().GetNumber(), a.opts.Endpoint, outcome)
+	return connect.NewResponse(&pb.RevokeResponse{Outcome: outcomeOf(outcome), Incarnation: a.opts.Incarnation}), nil
+}
+
+func idOf(id *pb.AttemptId) attempt.ID {
+	return attempt.ID{Request: id.GetRequestId(), Number: id.GetNumber()}
+}
+
+func outcomeOf(o attempt.Outcome) pb.Outcome {
+	switch o {
+	case attempt.NotRun:
+		return pb.Outcome_OUTCOME_NOT_RUN
+	case attempt.Done:
+		return pb.Outcome_OUTCOME_DONE
+	default:
+		return pb.Outcome_OUTCOME_UNKNOWN
+	}
+}
--- a/cmd/cyclamenpoint/main.go
+++ b/cmd/cyclamenpoint/main.go
@@ -1,4 +1,16 @@
 // Command cyclamenpoint runs an entry node and the operators' commands.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenpoint/cyclamenpoint/command"
+)
+
+func main() {
+	code := command.Run(os.Args[1:], os.Stdout, os.Stderr)
+	klog.Flush()
+	os.Exit(code)
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,134 @@
+// Package command is the command line of cyclamenpoint: the entry node, the
+// demo and the operators' commands.
+//
+// Exit codes: 0 success, 1 failure, 2 wrong usage, 3 a file with faults, 4 a
+// conflict with another operator, 5 an outcome that is not known.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/strictyaml"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitUsage    = 2
+	ExitFaults   = 3
+	ExitConflict = 4
+	ExitUnknown  = 5
+)
+
+// Stdout and Stderr are where commands write; tests replace them.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// coded is an error that brings its own exit code.
+type coded interface {
+	error
+	ExitCode() int
+}
+
+// Run runs the program with the arguments after its name and returns its exit
+// code.
+func Run(args []string, out, errOut io.Writer) int {
+	parser := newParser(&streams{out: out, err: errOut})
+	_, err := parser.ParseArgs(args)
+	return report(err, out, errOut)
+}
+
+// report writes err in the way it asks for and returns the exit code.
+func report(err error, out, errOut io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) {
+		if flagErr.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(out, flagErr.Message)
+			return ExitOK
+		}
+		_, _ = fmt.Fprintln(errOut, flagErr.Message)
+		return ExitUsage
+	}
+	_, _ = fmt.Fprintln(errOut, err.Error())
+	var faults *strictyaml.FaultsError
+	if errors.As(err, &faults) {
+		return ExitFaults
+	}
+	var withCode coded
+	if errors.As(err, &withCode) {
+		return withCode.ExitCode()
+	}
+	return ExitFailure
+}
+
+// subcommand is one command with its help.
+type subcommand struct {
+	name  string
+	short string
+	long  string
+	data  any
+}
+
+func newParser(s *streams) *flags.Parser {
+	parser := flags.NewNamedParser("cyclamenpoint", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "load balancer for expert-parallel model groups"
+	parser.LongDescription = "cyclamenpoint runs an entry node and the operators' commands."
+	addAll(parser.Command, []subcommand{
+		{"serve", "Run an entry node", "Runs an entry node until SIGTERM, then waits for the answers in flight.", &serveCommand{streams: s}},
+		{"demo", "Run a whole deployment on stand-ins", "Runs a whole deployment in one process over loopback, until SIGTERM.", &demoCommand{streams: s}},
+		{"version", "Print the version", "Prints the program's version.", &versionCommand{streams: s}},
+	})
+	// The data of a group without options is never nil.
+	group, _ := parser.AddCommand("config", "Check, hand over and show configurations", "Checks, hands over and shows configurations.", &struct{}{})
+	addAll(group, []subcommand{
+		{"check", "Check a configuration file", "Lists all faults of a configuration file, or prints its content hash.", &checkCommand{streams: s}},
+	})
+	return parser
+}
+
+// commander takes subcommands.
+type commander interface {
+	AddCommand(command, short, long string, data any) (*flags.Command, error)
+}
+
+func addAll(parent commander, commands []subcommand) {
+	for _, c := range commands {
+		if _, err := parent.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			// The commands are fixed; only a mistake in their tags gets here.
+			panic(err)
+		}
+	}
+}
+
+// untilSignal returns a context that ends at SIGTERM or SIGINT.
+func untilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// versionCommand prints the version.
+type versionCommand struct {
+	streams *streams
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.streams.out, "cyclamenpoint "+Version)
+	return errors.Wrap(err, "print the version")
+}
--- /dev/null
+++ b/command/demo.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/demo"
+)
+
+// stopTimeout bounds how long a stopping process waits for its answers.
+const stopTimeout = 15 * time.Minute
+
+// demoCommand runs the demo.
+type demoCommand struct {
+	streams *streams
+
+	Listen string `long:"listen" default:"127.0.0.1:18080" value-name:"IP:PORT" description:"where the first entry node listens for callers"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, cancel := untilSignal()
+	defer cancel()
+	d, err := demo.Start(demo.Options{Listen: c.Listen, Step: demo.DefaultStep})
+	if err != nil {
+		return err
+	}
+	if err := d.Describe(c.streams.out); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	return d.Stop(stopping)
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,38 @@
+package command
+
+import (
+	"context"
+
+	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/node"
+	"github.com/cyclamenpoint/cyclamenpoint/settings"
+)
+
+// serveCommand runs an entry node.
+type serveCommand struct {
+	streams *streams
+
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"the node's settings as YAML"`
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.LoadEntry(c.Settings)
+	if err != nil {
+		return err
+	}
+	secret, err := s.Secret()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := untilSignal()
+	defer cancel()
+	n, err := node.StartEntry(s, secret, &config.Holder{}, nil)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	return n.Stop(stopping)
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,312 @@
+// Package demo runs a whole deployment in one process over loopback TCP: the
+// platform's stand-ins, eight engines in one rank group over three failure
+// domains, a plain service with three workers, the agents and two entry nodes.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/entry"
+	"github.com/cyclamenpoint/cyclamenpoint/node"
+	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/settings"
+	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
+	servicestandin "github.com/cyclamenpoint/cyclamenpoint/standin/service"
+)
+
+// Sizes and times of the demo.
+const (
+	engines        = 8
+	workers        = 3
+	engineSlots    = 64
+	workerSlots    = 32
+	serviceTime    = 5 * time.Millisecond
+	restartTime    = time.Second
+	reportLag      = 200 * time.Millisecond
+	cacheBlocks    = 4096
+	prefillBlocks  = 16
+	maxTokens      = 10_000
+	demoKey        = "demo-key"
+	demoModel      = "demo"
+	demoService    = "desk"
+	demoGroup      = "demo-group"
+	demoSecret     = "demo-secret-of-one-process"
+	loopbackAnyOne = "127.0.0.1:0"
+)
+
+var failureDomains = []string{"demo-a", "demo-b", "demo-c"}
+
+// Demo is a running demo.
+type Demo struct {
+	opts     Options
+	engines  *enginestandin.Group
+	service  *servicestandin.Service
+	standins []*http.Server
+	holder   *config.Holder
+	agents   []*node.Agent
+	entries  []*node.Entry
+	callers  []string
+	sockets  node.Sockets
+}
+
+// Options describe a demo.
+type Options struct {
+	// Listen is where the first entry node listens for callers, as IP:port;
+	// empty takes a free port, as the second entry node does.
+	Listen string
+	// Step is the time that the engines take for a token.
+	Step time.Duration
+}
+
+// DefaultStep is the usual time for a token.
+const DefaultStep = 20 * time.Millisecond
+
+// Start starts the demo.
+func Start(opts Options) (*Demo, error) {
+	d := &Demo{opts: opts, holder: &config.Holder{}, sockets: make(node.Sockets)}
+	if err := d.start(); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) start() error {
+	deploy := d.deployment()
+	if err := d.startEndpoints(deploy); err != nil {
+		return err
+	}
+	if err := d.accept(deploy); err != nil {
+		return err
+	}
+	secret, err := peer.NewSecret(demoSecret)
+	if err != nil {
+		return err
+	}
+	if err := d.startAgents(secret); err != nil {
+		return err
+	}
+	return d.startEntries(secret)
+}
+
+// deployment returns the demo's configuration without its addresses.
+func (d *Demo) deployment() *deployment.Deployment {
+	hash := sha256.Sum256([]byte(demoKey))
+	return &deployment.Deployment{
+		Name:   "demo",
+		Models: []deployment.Model{{Name: demoModel, MaxTokens: maxTokens, Repeat: deployment.RepeatAlways}},
+		Groups: []deployment.Group{{
+			Name: demoGroup, Model: demoModel, Layers: 4, Experts: 32, Slots: 6, ExpertBytes: 44 << 20,
+			Objective: deployment.Objective{Skew: 1, Move: 1},
+		}},
+		Services: []deployment.Service{{Name: demoService, Routes: []deployment.Route{
+			{Method: http.MethodPost, Path: "/reservations", Repeat: deployment.RepeatNever},
+			{Method: http.MethodGet, Path: "/stock", Repeat: deployment.RepeatAlways},
+		}}},
+		Organisations: []deployment.Organisation{{Name: "demo", KeySHA256: []string{hex.EncodeToString(hash[:])}, Share: 1}},
+	}
+}
+
+// startEndpoints starts the engines and workers and adds them to deploy.
+func (d *Demo) startEndpoints(deploy *deployment.Deployment) error {
+	d.engines = enginestandin.NewGroup(enginestandin.Options{
+		Model: demoModel, Ranks: engines, Step: d.opts.Step, Slots: engineSlots, PrefillPerStep: prefillBlocks,
+		CacheBlocks: cacheBlocks, ReportLag: reportLag, Restart: restartTime,
+	})
+	for rank := range engines {
+		e := endpoint(rank, "engine", deployment.KindEngine, engineSlots)
+		e.Group = demoGroup
+		e.Rank = rank
+		e.Resumes = true
+		if err := d.addEndpoint(deploy, e, d.engines.Rank(rank).Handler()); err != nil {
+			return err
+		}
+	}
+	d.service = servicestandin.New(serviceTime)
+	for i := range workers {
+		e := endpoint(i, demoService, deployment.KindService, workerSlots)
+		e.Service = demoService
+		if err := d.addEndpoint(deploy, e, d.service.Handler()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func endpoint(i int, prefix string, kind deployment.Kind, slots int) deployment.Endpoint {
+	name := fmt.Sprintf("%s-%d", prefix, i)
+	return deployment.Endpoint{
+		Name: name, Kind: kind, VM: "vm-" + name, FailureDomain: failureDomains[i%len(failureDomains)],
+		Region: "demo", Concurrency: slots, Weight: 100,
+	}
+}
+
+// addEndpoint serves handler at a free port and reserves one for the agent.
+func (d *Demo) addEndpoint(deploy *deployment.Deployment, e deployment.Endpoint, handler http.Handler) error {
+	address, err := d.serve(handler)
+	if err != nil {
+		return err
+	}
+	e.Address = address
+	e.Agent, err = d.reserve()
+	if err != nil {
+		return err
+	}
+	deploy.Endpoints = append(deploy.Endpoints, e)
+	return nil
+}
+
+// serve serves a stand-in at a free port.
+func (d *Demo) serve(handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopbackAnyOne)
+	if err != nil {
+		return "", &node.ListenError{Name: "a stand-in", Address: loopbackAnyOne, Cause: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	d.standins = append(d.standins, server)
+	go func() {
+		// Serve returns when close closes the server.
+		_ = server.Serve(l)
+	}()
+	return l.Addr().String(), nil
+}
+
+// reserve opens a socket at a free port, for a process that starts later, and
+// returns its address.
+func (d *Demo) reserve() (string, error) {
+	l, err := net.Listen("tcp", loopbackAnyOne)
+	if err != nil {
+		return "", &node.ListenError{Name: "a free port", Address: loopbackAnyOne, Cause: err}
+	}
+	d.sockets[l.Addr().String()] = l
+	return l.Addr().String(), nil
+}
+
+// accept puts the configuration in force.
+func (d *Demo) accept(deploy *deployment.Deployment) error {
+	text, err := deploy.Canonical()
+	if err != nil {
+		return err
+	}
+	snap, err := config.NewSnapshot(1, "demo", text)
+	if err != nil {
+		return err
+	}
+	d.holder.Advance(snap)
+	return nil
+}
+
+func (d *Demo) startAgents(secret peer.Secret) error {
+	for _, e := range d.holder.Current().Deployment.Endpoints {
+		common, err := d.nodeSettings("agent-"+e.Name, e.VM, e.FailureDomain)
+		if err != nil {
+			return err
+		}
+		common.Peers = e.Agent
+		a, err := node.StartAgent(&settings.Agent{Node: common, Endpoint: e.Name}, secret, d.holder, d.sockets)
+		if err != nil {
+			return err
+		}
+		d.agents = append(d.agents, a)
+	}
+	return nil
+}
+
+func (d *Demo) nodeSettings(name, vm, failureDomain string) (settings.Node, error) {
+	operators, err := d.reserve()
+	if err != nil {
+		return settings.Node{}, err
+	}
+	return settings.Node{Name: name, VM: vm, FailureDomain: failureDomain, Region: "demo", Operators: operators}, nil
+}
+
+func (d *Demo) startEntries(secret peer.Secret) error {
+	for i, callers := range []string{d.opts.Listen, ""} {
+		if callers == "" {
+			address, err := d.reserve()
+			if err != nil {
+				return err
+			}
+			callers = address
+		}
+		name := fmt.Sprintf("entry-%d", i)
+		common, err := d.nodeSettings(name, "vm-"+name, failureDomains[i])
+		if err != nil {
+			return err
+		}
+		e, err := node.StartEntry(&settings.Entry{Node: common, Callers: callers, Limits: entry.DefaultLimits(), DebugVars: true}, secret, d.holder, d.sockets)
+		if err != nil {
+			return err
+		}
+		d.entries = append(d.entries, e)
+		d.callers = append(d.callers, "http://"+callers)
+	}
+	return nil
+}
+
+// Callers returns the callers' URLs of the entry nodes.
+func (d *Demo) Callers() []string { return d.callers }
+
+// Describe writes how to call the demo.
+func (d *Demo) Describe(w io.Writer) error {
+	_, err := fmt.Fprintf(w, `Callers' URLs: %s (and %s)
+
+curl -N %[1]s/v1/chat/completions -H 'Authorization: Bearer %[3]s' \
+  -H 'Content-Type: application/json' \
+  -d '{"model":"%[4]s","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"Hello"}]}'
+
+curl %[1]s/services/%[5]s/reservations -H 'Authorization: Bearer %[3]s' \
+  -H 'Idempotency-Key: order-1' -d '{"item":"belt"}'
+
+SIGTERM or Ctrl-C ends the demo once all answers are whole.
+`, d.callers[0], d.callers[1], demoKey, demoModel, demoService)
+	return errors.Wrap(err, "describe the demo")
+}
+
+// Stop drains the entry nodes, then the agents, and then ends the stand-ins.
+func (d *Demo) Stop(ctx context.Context) error {
+	err := stopAll(ctx, d.entries)
+	if agentsErr := stopAll(ctx, d.agents); err == nil {
+		err = agentsErr
+	}
+	d.entries = nil
+	d.agents = nil
+	d.close()
+	return err
+}
+
+// stopper is a process that can be stopped gracefully.
+type stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// stopAll stops processes side by side and returns the first failure.
+func stopAll[S stopper](ctx context.Context, processes []S) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, p := range processes {
+		group.Go(func() error { return p.Stop(ctx) })
+	}
+	return group.Wait()
+}
+
+func (d *Demo) close() {
+	if d.engines != nil {
+		d.engines.Close()
+	}
+	for _, s := range d.standins {
+		// The stand-ins have nothing left to do.
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,183 @@
+// Package dispatch carries one request from an entry node to an endpoint and
+// its answer back: it routes, runs attempts, and tries again only where that
+// cannot break a promise. It gives its sink a whole answer or a problem.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/agentconn"
+	"github.com/cyclamenpoint/cyclamenpoint/decision"
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/problem"
+)
+
+// Request is one caller's request after the entry's checks.
+type Request struct {
+	ID           string
+	Organisation string
+	// Model is set for a generation, Service for a call of a plain service.
+	Model   string
+	Service string
+	Method  string
+	// Path is the path at the endpoint, with its query.
+	Path     string
+	Headers  []engine.Header
+	Body     []byte
+	Priority int32
+	// Cost estimates the work in tokens.
+	Cost   float64
+	Repeat deployment.Repeat
+	// Key is the idempotency key of a protected request.
+	Key string
+	// Fingerprint identifies the content for quarantine.
+	Fingerprint string
+	// Prefixes are hashes of the prompt's prefixes, longest first.
+	Prefixes []uint64
+	// ConfigVersion is the configuration by which the request is routed.
+	ConfigVersion uint64
+}
+
+// protected tells whether the request runs at most once.
+func (r *Request) protected() bool { return r.Repeat == deployment.RepeatNever }
+
+// Target is the endpoint that an attempt goes to.
+type Target struct {
+	Endpoint    string
+	Agent       string
+	Incarnation uint64
+	Stamp       int64
+	Resumes     bool
+	// Reason says why this endpoint was picked.
+	Reason string
+}
+
+// Router picks endpoints and learns from what became of attempts.
+type Router interface {
+	// Pick returns an endpoint that is not in tried, or an error that says why
+	// there is none.
+	Pick(ctx context.Context, req *Request, tried []string) (Target, error)
+	// Learn takes what an attempt showed of its endpoint.
+	Learn(target Target, load *pb.ProbeResponse, result Result)
+}
+
+// Agents carries attempts to agents.
+type Agents interface {
+	Execute(ctx context.Context, address string, req *pb.ExecuteRequest, take agentconn.FrameFunc) error
+	Revoke(ctx context.Context, address string, req *pb.RevokeRequest) (*pb.RevokeResponse, error)
+}
+
+// Retrier decides whether a request may have one more attempt, and keeps the
+// budgets.
+type Retrier interface {
+	// Retry returns how long to wait before the next attempt, and false with a
+	// reason when there must be none.
+	Retry(req *Request, result Result, attempts int, left time.Duration) (wait time.Duration, reason string, ok bool)
+	// Started counts a request's first attempt.
+	Started(req *Request)
+}
+
+// Sink takes the answer for the caller.
+type Sink interface {
+	// Head is called once, before any Data.
+	Head(status int, headers []*pb.Header, stream bool) error
+	// Data takes a piece of the body, or one event's data of a stream.
+	Data(data []byte) error
+}
+
+// Dispatcher dispatches requests. It is safe for many goroutines.
+type Dispatcher struct {
+	router    Router
+	agents    Agents
+	retrier   Retrier
+	decisions *decision.Log
+}
+
+// New returns a dispatcher.
+func New(router Router, agents Agents, retrier Retrier, decisions *decision.Log) *Dispatcher {
+	return &Dispatcher{router: router, agents: agents, retrier: retrier, decisions: decisions}
+}
+
+// Do runs the request until its answer is whole in sink, and then returns nil.
+// A problem after sink.Head was called leaves the answer incomplete; the
+// caller must be told so in the stream.
+func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) *problem.Problem {
+	delivery := &delivery{sink: sink}
+	var tried []string
+	d.retrier.Started(req)
+	for attempts := 1; ; attempts++ {
+		target, err := d.pick(ctx, req, tried, delivery)
+		if err != nil {
+			return d.noTarget(req, attempts, err)
+		}
+		d.decisions.Add(decision.Dispatch, req.ID, "attempt %d goes to endpoint %s: %s.", attempts, target.Endpoint, target.Reason)
+		result := d.attempt(ctx, req, uint32(attempts), target, delivery)
+		d.router.Learn(target, result.Load, result)
+		if result.State == Done {
+			return nil
+		}
+		d.decisions.Add(decision.Dispatch, req.ID, "attempt %d at endpoint %s ended: %s.", attempts, target.Endpoint, result)
+		if p := d.next(ctx, req, result, attempts, delivery); p != nil {
+			return p
+		}
+		tried = append(tried, target.Endpoint)
+	}
+}
+
+// pick asks the router. A delivery that has begun can only go on at an
+// endpoint that resumes.
+func (d *Dispatcher) pick(ctx context.Context, req *Request, tried []string, delivery *delivery) (Target, error) {
+	for {
+		target, err := d.router.Pick(ctx, req, tried)
+		if err != nil || !delivery.begun || target.Resumes {
+			return target, err
+		}
+		tried = append(tried, target.Endpoint)
+	}
+}
+
+func (d *Dispatcher) noTarget(req *Request, attempts int, err error) *problem.Problem {
+	d.decisions.Add(decision.Dispatch, req.ID, "no endpoint for attempt %d: %s.", attempts, err)
+	return newProblem(problem.NoCapacity, req, err.Error())
+}
+
+// next returns the problem that ends the request, or nil after the wait before
+// one more attempt.
+func (d *Dispatcher) next(ctx context.Context, req *Request, result Result, attempts int, delivery *delivery) *problem.Problem {
+	final := result.problem(req, delivery.begun)
+	if result.final(req, delivery.begun) {
+		return final
+	}
+	wait, reason, ok := d.retrier.Retry(req, result, attempts, timeLeft(ctx))
+	if !ok {
+		d.decisions.Add(decision.Retry, req.ID, "no further attempt after %d: %s.", attempts, reason)
+		return final
+	}
+	d.decisions.Add(decision.Retry, req.ID, "attempt %d follows in %s: %s.", attempts+1, wait.Round(time.Millisecond), reason)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return final
+	}
+}
+
+// unbounded stands for the time left of a request without a deadline.
+const unbounded = time.Hour
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return unbounded
+	}
+	return time.Until(deadline)
+}
+
+func newProblem(kind problem.Kind, req *Request, detail string) *problem.Problem {
+	return &problem.Problem{Kind: kind, RequestID: req.ID, Detail: detail}
+}
--- /dev/null
+++ b/dispatch/result.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/problem"
+)
+
+// State is what became of an attempt.
+type State int
+
+// The states.
+const (
+	// Done means that the whole answer was delivered.
+	Done State = iota
+	// NotRun is proved by the agent.
+	NotRun
+	// Unknown means that the attempt may have run, and nothing more is known.
+	Unknown
+	// Broken means that the endpoint failed while it ran the attempt.
+	Broken
+	// CallerGone means that the caller takes no answer any more.
+	CallerGone
+)
+
+// String names the state.
+func (s State) String() string {
+	return [...]string{"done", "not run", "unknown", "broken", "caller gone"}[s]
+}
+
+// Result is what became of an attempt and why.
+type Result struct {
+	State State
+	// Refusal is set when the agent refused.
+	Refusal pb.RefusalReason
+	// Detail says what happened.
+	Detail string
+	// RetryAfter is the agent's hint, 0 for none.
+	RetryAfter time.Duration
+	// Silent is true when the agent sent nothing for too long or the
+	// connection broke.
+	Silent bool
+	// Load is the endpoint's load, when the agent told it.
+	Load *pb.ProbeResponse
+}
+
+// String gives the state and the detail.
+func (r Result) String() string {
+	if r.Detail == "" {
+		return r.State.String()
+	}
+	return r.State.String() + ", " + r.Detail
+}
+
+// refusalKinds are the refusals that another endpoint would repeat.
+var refusalKinds = map[pb.RefusalReason]problem.Kind{
+	pb.RefusalReason_REFUSAL_REASON_QUARANTINED:        problem.Quarantined,
+	pb.RefusalReason_REFUSAL_REASON_DEADLINE:           problem.Deadline,
+	pb.RefusalReason_REFUSAL_REASON_ORGANISATION_LIMIT: problem.OverLimit,
+	pb.RefusalReason_REFUSAL_REASON_KEY_CONFLICT:       problem.KeyConflict,
+	pb.RefusalReason_REFUSAL_REASON_KEY_IN_FLIGHT:      problem.KeyInFlight,
+	pb.RefusalReason_REFUSAL_REASON_CLAIM_UNKNOWN:      problem.KeyUnknown,
+	pb.RefusalReason_REFUSAL_REASON_STORE_DOWN:         problem.StoreDown,
+}
+
+// final tells whether no further attempt may follow, whatever the budget says.
+func (r Result) final(req *Request, begun bool) bool {
+	switch r.State {
+	case NotRun:
+		_, repeats := refusalKinds[r.Refusal]
+		return repeats
+	case Unknown, Broken:
+		return !repeatable(req, begun)
+	default:
+		return true
+	}
+}
+
+// repeatable tells whether a request that may have run may run again. A
+// protected request may be sent again, because its claim decides whether it
+// runs; a generation that has begun may be resumed.
+func repeatable(req *Request, begun bool) bool {
+	if req.protected() {
+		return !begun
+	}
+	if req.Repeat != deployment.RepeatAlways {
+		return false
+	}
+	return !begun || req.Model != ""
+}
+
+// problem returns what the caller is told when no further attempt follows.
+func (r Result) problem(req *Request, begun bool) *problem.Problem {
+	p := newProblem(r.kind(begun), req, r.Detail)
+	p.RetryAfter = r.RetryAfter
+	return p
+}
+
+func (r Result) kind(begun bool) problem.Kind {
+	if begun {
+		return problem.EndpointFailure
+	}
+	switch r.State {
+	case NotRun:
+		if kind, ok := refusalKinds[r.Refusal]; ok {
+			return kind
+		}
+		return problem.NoCapacity
+	case Broken:
+		return problem.EndpointFailure
+	default:
+		return problem.OutcomeUnknown
+	}
+}
+
+// refusalText turns a refusal reason into words.
+func refusalText(reason pb.RefusalReason) string {
+	name := strings.TrimPrefix(reason.String(), "REFUSAL_REASON_")
+	return strings.ToLower(strings.ReplaceAll(name, "_", " "))
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,191 @@
+// Package entry is the callers' side of an entry node: an OpenAI-compatible
+// HTTP interface and the plain services. It identifies the organisation,
+// checks the request, dispatches it, and writes the answer.
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
+	"github.com/cyclamenpoint/cyclamenpoint/problem"
+)
+
+// Header fields of the callers' interface.
+const (
+	headerRequestID = "X-Request-Id"
+	headerKey       = "Idempotency-Key"
+)
+
+// drainPoll is how often a stopping node looks whether its requests have
+// ended.
+const drainPoll = 20 * time.Millisecond
+
+// Limits bound what callers may send.
+type Limits struct {
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64 `yaml:"max_body_bytes,omitempty"`
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes int `yaml:"max_header_bytes,omitempty"`
+	// HeaderTimeout bounds the time to read a header.
+	HeaderTimeout time.Duration `yaml:"header_timeout,omitempty"`
+	// BodyTimeout bounds the time to read a request whole.
+	BodyTimeout time.Duration `yaml:"body_timeout,omitempty"`
+	// RequestTimeout is the deadline of a request.
+	RequestTimeout time.Duration `yaml:"request_timeout,omitempty"`
+}
+
+// DefaultLimits returns the limits that hold unless settings say otherwise.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBodyBytes:   4 << 20,
+		MaxHeaderBytes: 32 << 10,
+		HeaderTimeout:  5 * time.Second,
+		BodyTimeout:    30 * time.Second,
+		RequestTimeout: 10 * time.Minute,
+	}
+}
+
+// Dispatcher runs requests.
+type Dispatcher interface {
+	Do(ctx context.Context, req *dispatch.Request, sink dispatch.Sink) *problem.Problem
+}
+
+// Readiness tells whether the node may serve.
+type Readiness interface {
+	// Ready returns "" when the node may serve, else the reason why not.
+	Ready() string
+}
+
+// Options describe an entry node's callers' side.
+type Options struct {
+	Config     *config.Holder
+	Dispatcher Dispatcher
+	Readiness  Readiness
+	Limits     Limits
+	// DebugVars shows the node's figures at /debug/vars.
+	DebugVars bool
+}
+
+// Entry serves callers. It is safe for many goroutines.
+type Entry struct {
+	opts     Options
+	draining atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns an entry.
+func New(opts Options) *Entry { return &Entry{opts: opts} }
+
+// InFlight returns the number of requests in flight.
+func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
+
+// Server returns the HTTP server for callers.
+func (e *Entry) Server() *http.Server {
+	return &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: e.opts.Limits.HeaderTimeout,
+		MaxHeaderBytes:    e.opts.Limits.MaxHeaderBytes,
+		IdleTimeout:       time.Minute,
+	}
+}
+
+// Handler returns the callers' interface.
+func (e *Entry) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
+	r.Get("/readyz", e.readyz)
+	if e.opts.DebugVars {
+		r.Handle("/debug/vars", expvar.Handler())
+	}
+	r.Group(func(r chi.Router) {
+		r.Use(e.admit)
+		r.Get("/v1/models", e.models)
+		r.Post("/v1/chat/completions", e.chat)
+		r.HandleFunc("/services/{service}/*", e.service)
+	})
+	r.NotFound(e.notFound)
+	r.MethodNotAllowed(e.notFound)
+	return r
+}
+
+// Drain refuses new requests as not run and returns once none is in flight.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	klog.Infof("entry: draining, %d requests in flight.", e.InFlight())
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for e.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "drain with %d requests in flight", e.InFlight())
+		case <-ticker.C:
+		}
+	}
+	klog.Info("entry: drained.")
+	return nil
+}
+
+func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
+	if reason := e.notReady(); reason != "" {
+		writeText(w, http.StatusServiceUnavailable, reason)
+		return
+	}
+	writeText(w, http.StatusOK, "ready")
+}
+
+func (e *Entry) notReady() string {
+	if e.draining.Load() {
+		return "the node is stopping"
+	}
+	if e.opts.Config.Current() == nil {
+		return "the node has no configuration"
+	}
+	return e.opts.Readiness.Ready()
+}
+
+// admit gives the request its identifier and turns it away while the node may
+// not serve.
+func (e *Entry) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := uuid.NewString()
+		w.Header().Set(headerRequestID, id)
+		// Counted before the check, so that Drain never misses a request that
+		// passed it.
+		e.inFlight.Add(1)
+		defer e.inFlight.Add(-1)
+		if reason := e.notReady(); reason != "" {
+			kind := problem.NotReady
+			if e.draining.Load() {
+				kind = problem.Draining
+				w.Header().Set("Connection", "close")
+			}
+			(&problem.Problem{Kind: kind, RequestID: id, Detail: reason, RetryAfter: time.Second}).Write(w)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), e.opts.Limits.RequestTimeout)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func (e *Entry) notFound(w http.ResponseWriter, _ *http.Request) {
+	id := uuid.NewString()
+	w.Header().Set(headerRequestID, id)
+	(&problem.Problem{Kind: problem.NoRoute, RequestID: id, Detail: "no such path or method"}).Write(w)
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/problem"
+)
+
+const (
+	chatPath = "/v1/chat/completions"
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// prefixBlockBytes is the size of the engines' prompt blocks.
+	prefixBlockBytes = 64
+	// maxPrefixes bounds the prompt prefixes that a probe asks for.
+	maxPrefixes = 32
+	// defaultMaxTokens is the cost of a request that names no bound.
+	defaultMaxTokens = 256
+)
+
+// forwarded are the header fields that endpoints get.
+var forwarded = []string{"Content-Type", "Accept", headerKey}
+
+// received is a request under check.
+type received struct {
+	entry    *Entry
+	snapshot *config.Snapshot
+	org      *deployment.Organisation
+	id       string
+	w        http.ResponseWriter
+	r        *http.Request
+	body     []byte
+}
+
+// receive identifies the caller. On failure it answers and returns nil.
+func (e *Entry) receive(w http.ResponseWriter, r *http.Request) *received {
+	in := &received{entry: e, snapshot: e.opts.Config.Current(), id: w.Header().Get(headerRequestID), w: w, r: r}
+	in.org = in.snapshot.Directory.Identify(r.Header.Get("Authorization"))
+	if in.org == nil {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		in.fail(problem.BadKey, "the Authorization header names no organisation")
+		return nil
+	}
+	return in
+}
+
+func (in *received) fail(kind problem.Kind, detail string) {
+	(&problem.Problem{Kind: kind, RequestID: in.id, Detail: detail}).Write(in.w)
+}
+
+// readBody reads the body within the limits. On failure it answers and
+// returns false.
+func (in *received) readBody() bool {
+	limits := in.entry.opts.Limits
+	rc := http.NewResponseController(in.w)
+	// A connection without deadlines still has the bounded body.
+	_ = rc.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(in.w, in.r.Body, limits.MaxBodyBytes))
+	_ = rc.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		in.fail(problem.TooLarge, "the body is larger than this node takes")
+		return false
+	}
+	if err != nil {
+		in.fail(problem.BadRequest, "the body ended early")
+		return false
+	}
+	in.body = body
+	return true
+}
+
+func (in *received) request() *dispatch.Request {
+	req := &dispatch.Request{
+		ID:            in.id,
+		Organisation:  in.org.Name,
+		Method:        in.r.Method,
+		Body:          in.body,
+		ConfigVersion: in.snapshot.Version,
+		Cost:          1,
+	}
+	for _, name := range forwarded {
+		if v := in.r.Header.Get(name); v != "" {
+			req.Headers = append(req.Headers, engine.Header{Name: name, Value: v})
+		}
+	}
+	return req
+}
+
+// chatBody is the part of a chat completion request that the entry reads.
+type chatBody struct {
+	Model     string `json:"model"`
+	MaxTokens *int   `json:"max_tokens"`
+	Messages  []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+func (e *Entry) chat(w http.ResponseWriter, r *http.Request) {
+	in := e.receive(w, r)
+	if in == nil || !in.readBody() {
+		return
+	}
+	var body chatBody
+	if err := json.Unmarshal(in.body, &body); err != nil {
+		in.fail(problem.BadRequest, "the body is no chat completion request: "+err.Error())
+		return
+	}
+	if len(body.Messages) == 0 {
+		in.fail(problem.BadRequest, "messages: at least one is required")
+		return
+	}
+	model := in.snapshot.Deployment.Model(body.Model)
+	if model == nil {
+		in.fail(problem.NoModel, "model: no model is called "+body.Model)
+		return
+	}
+	tokens := min(defaultMaxTokens, model.MaxTokens)
+	if body.MaxTokens != nil {
+		tokens = *body.MaxTokens
+	}
+	if tokens < 1 || tokens > model.MaxTokens {
+		in.fail(problem.BadRequest, "max_tokens: outside what the model allows")
+		return
+	}
+	req := in.request()
+	req.Model = model.Name
+	req.Path = chatPath
+	req.Repeat = model.Repeat
+	req.Cost = float64(tokens)
+	req.Prefixes = prefixes(body)
+	req.Fingerprint = fingerprint(in.org.Name, model.Name, in.body)
+	e.dispatch(w, r, req)
+}
+
+// prefixes hashes the prompt's prefixes in the way of the engines' cache
+// events, longest first.
+func prefixes(body chatBody) []uint64 {
+	h := fnv.New64a()
+	var hashes []uint64
+	var block []byte
+	for _, m := range body.Messages {
+		var content string
+		if json.Unmarshal(m.Content, &content) != nil {
+			content = string(m.Content)
+		}
+		block = append(block, m.Role+":"+content+"\n"...)
+	}
+	for piece := range slices.Chunk(block, prefixBlockBytes) {
+		_, _ = h.Write(piece)
+		hashes = append(hashes, h.Sum64())
+	}
+	slices.Reverse(hashes)
+	return hashes[:min(len(hashes), maxPrefixes)]
+}
+
+func fingerprint(organisation, target string, body []byte) string {
+	h := sha256.New()
+	for _, part := range []string{organisation, target} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
+	in := e.receive(w, r)
+	if in == nil {
+		return
+	}
+	service := in.snapshot.Deployment.Service(chi.URLParam(r, "service"))
+	if service == nil {
+		in.fail(problem.NoRoute, "no such service")
+		return
+	}
+	path := "/" + chi.URLParam(r, "*")
+	route := service.Route(r.Method, path)
+	if route == nil {
+		in.fail(problem.NoRoute, "the service has no such route")
+		return
+	}
+	key := r.Header.Get(headerKey)
+	if !in.checkKey(route, key) || !in.readBody() {
+		return
+	}
+	req := in.request()
+	req.Service = service.Name
+	req.Path = path
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	req.Repeat = route.Repeat
+	req.Key = key
+	req.Fingerprint = fingerprint(in.org.Name, r.Method+" "+service.Name+req.Path, in.body)
+	e.dispatch(w, r, req)
+}
+
+// checkKey demands an idempotency key for a protected route.
+func (in *received) checkKey(route *deployment.Route, key string) bool {
+	if route.Repeat != deployment.RepeatNever {
+		return true
+	}
+	if key == "" {
+		in.fail(problem.NoKey, "the route runs a request at most once and needs the header Idempotency-Key")
+		return false
+	}
+	if len(key) > maxKeyBytes {
+		in.fail(problem.BadRequest, "Idempotency-Key: longer than 255 bytes")
+		return false
+	}
+	return true
+}
+
+// dispatch runs a checked request and writes its answer or its problem.
+func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
+	out := &answer{w: w, rc: http.NewResponseController(w)}
+	if p := e.opts.Dispatcher.Do(r.Context(), req, out); p != nil {
+		out.fail(p)
+		return
+	}
+	out.finish()
+}
--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,116 @@
+// Package problem owns the failures that callers see: RFC 9457 documents with
+// a stable type, the request's identifier and what is known of its outcome.
+package problem
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ContentType is the media type of a problem document.
+const ContentType = "application/problem+json"
+
+// typeBase precedes the name of each problem type. It is a name and not an
+// address: nothing needs to be fetched from it.
+const typeBase = "urn:cyclamenpoint:problem:"
+
+// Outcome is what is known of a request that got no answer.
+type Outcome string
+
+// The outcomes.
+const (
+	// NotRun means that the request passed all checks, and is proved not to
+	// have run.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+	// Refused means that a check turned the request away; it did not run.
+	Refused Outcome = "refused"
+)
+
+// Kind is a stable problem type with its title and HTTP status.
+type Kind struct {
+	Name    string
+	Title   string
+	Status  int
+	Outcome Outcome
+}
+
+// The problem types.
+var (
+	BadKey          = Kind{"bad-key", "The API key is not known", http.StatusUnauthorized, Refused}
+	BadRequest      = Kind{"bad-request", "The request cannot be read", http.StatusBadRequest, Refused}
+	TooLarge        = Kind{"too-large", "The request's body is too large", http.StatusRequestEntityTooLarge, Refused}
+	NoModel         = Kind{"no-model", "The model is not in the configuration", http.StatusNotFound, Refused}
+	NoRoute         = Kind{"no-route", "The route is not in the configuration", http.StatusNotFound, Refused}
+	NoKey           = Kind{"idempotency-key-missing", "The route needs an Idempotency-Key", http.StatusBadRequest, Refused}
+	KeyConflict     = Kind{"idempotency-key-conflict", "The Idempotency-Key came with another body before", http.StatusUnprocessableEntity, Refused}
+	KeyInFlight     = Kind{"idempotency-key-in-flight", "A request with this Idempotency-Key is running", http.StatusConflict, Refused}
+	KeyUnknown      = Kind{"idempotency-key-unknown", "A request with this Idempotency-Key may have run", http.StatusConflict, Unknown}
+	OverLimit       = Kind{"over-limit", "The organisation's limit is reached", http.StatusTooManyRequests, Refused}
+	Quarantined     = Kind{"quarantined", "Requests with this content crash endpoints", http.StatusUnprocessableEntity, Refused}
+	NoCapacity      = Kind{"no-capacity", "No endpoint has room", http.StatusServiceUnavailable, NotRun}
+	Draining        = Kind{"draining", "The node is stopping", http.StatusServiceUnavailable, NotRun}
+	NotReady        = Kind{"not-ready", "The node is not ready", http.StatusServiceUnavailable, NotRun}
+	StoreDown       = Kind{"store-down", "The claim could not be made durable", http.StatusServiceUnavailable, NotRun}
+	Deadline        = Kind{"deadline", "The deadline cannot be met", http.StatusGatewayTimeout, NotRun}
+	OutcomeUnknown  = Kind{"outcome-unknown", "The request may have run", http.StatusBadGateway, Unknown}
+	EndpointFailure = Kind{"endpoint-failure", "The endpoint failed while it answered", http.StatusBadGateway, Unknown}
+)
+
+// Problem is one failure as its caller sees it.
+type Problem struct {
+	Kind Kind
+	// RequestID identifies the request.
+	RequestID string
+	// Detail says what happened, in a sentence.
+	Detail string
+	// RetryAfter hints when to come again; 0 gives no hint.
+	RetryAfter time.Duration
+}
+
+// document is a problem's JSON form.
+type document struct {
+	Type      string  `json:"type"`
+	Title     string  `json:"title"`
+	Status    int     `json:"status"`
+	Detail    string  `json:"detail,omitempty"`
+	RequestID string  `json:"request_id"`
+	Outcome   Outcome `json:"outcome"`
+}
+
+// Error gives the problem's name and detail.
+func (p *Problem) Error() string {
+	return p.Kind.Name + ": " + p.Detail
+}
+
+// JSON returns the problem document.
+func (p *Problem) JSON() []byte {
+	text, err := json.Marshal(document{
+		Type:      typeBase + p.Kind.Name,
+		Title:     p.Kind.Title,
+		Status:    p.Kind.Status,
+		Detail:    p.Detail,
+		RequestID: p.RequestID,
+		Outcome:   p.Kind.Outcome,
+	})
+	if err != nil {
+		// Strings and numbers always encode.
+		panic(err)
+	}
+	return text
+}
+
+// Write answers a request with the problem.
+func (p *Problem) Write(w http.ResponseWriter) {
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", ContentType)
+	w.WriteHeader(p.Kind.Status)
+	// A caller that has gone does not read its answer.
+	_, _ = w.Write(p.JSON())
+}
--- /dev/null
+++ b/standin/engine/group.go
@@ -0,0 +1,120 @@
+// Package engine is a small stand-in for a group of model engines whose ranks
+// run in lock-step. It exists for the demo and the tests: it batches
+// continuously, caches prompt prefixes in limited memory, honours priorities,
+// resumes and cancels streams, reports load and cache events late and with
+// gaps, takes orders, and can be made to crash, stall or fall silent.
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// Options describe a group of stand-in engines.
+type Options struct {
+	// Model is the model that the group serves.
+	Model string
+	// Ranks is the number of ranks.
+	Ranks int
+	// Step is the time of one step without skew.
+	Step time.Duration
+	// Slots is how many requests a rank runs at once.
+	Slots int
+	// PrefillPerStep is how many uncached prompt blocks a step computes.
+	PrefillPerStep int
+	// CacheBlocks is how many prompt blocks a rank's cache holds.
+	CacheBlocks int
+	// ReportLag delays load reports and cache events.
+	ReportLag time.Duration
+	// ChecksFencing makes the ranks refuse orders with an old fencing token.
+	ChecksFencing bool
+	// Restart is how long a crashed rank stays down.
+	Restart time.Duration
+	// CrashOn is a text whose presence in a prompt crashes the rank that runs
+	// it. Empty crashes none.
+	CrashOn string
+}
+
+// Group is a rank group in lock-step: no rank advances while one is down or
+// stalled.
+type Group struct {
+	opts  Options
+	ranks []*Rank
+
+	mu    sync.Mutex
+	step  int64
+	until time.Time
+	stop  chan struct{}
+	done  chan struct{}
+}
+
+// NewGroup starts a group. Close ends it.
+func NewGroup(opts Options) *Group {
+	g := &Group{opts: opts, stop: make(chan struct{}), done: make(chan struct{})}
+	for i := range opts.Ranks {
+		g.ranks = append(g.ranks, newRank(g, i))
+	}
+	go g.run()
+	return g
+}
+
+// Rank returns the rank with the given number.
+func (g *Group) Rank(i int) *Rank { return g.ranks[i] }
+
+// Step returns the number of steps that all ranks have completed.
+func (g *Group) Step() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step
+}
+
+// Stall holds the whole group back for d, as one slow rank does.
+func (g *Group) Stall(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.until = time.Now().Add(d)
+}
+
+// Close stops the group and ends all its streams.
+func (g *Group) Close() {
+	close(g.stop)
+	<-g.done
+	for _, r := range g.ranks {
+		r.crash()
+	}
+}
+
+func (g *Group) run() {
+	defer close(g.done)
+	ticker := time.NewTicker(g.opts.Step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.C:
+			g.advance()
+		}
+	}
+}
+
+// advance runs one step on all ranks, or on none.
+func (g *Group) advance() {
+	g.mu.Lock()
+	stalled := time.Now().Before(g.until)
+	g.mu.Unlock()
+	if stalled {
+		return
+	}
+	for _, r := range g.ranks {
+		if !r.ready() {
+			return
+		}
+	}
+	for _, r := range g.ranks {
+		r.runStep()
+	}
+	g.mu.Lock()
+	g.step++
+	g.mu.Unlock()
+}
