--- /dev/null
+++ b/admission/history_test.go
@@ -0,0 +1,270 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// event is one request, or a change of the endpoint when kind is not eventRequest.
+type event struct {
+	kind                 eventKind
+	after, run, patience time.Duration
+	remaining            time.Duration
+	org                  string
+	priority             int32
+}
+
+type eventKind int
+
+const (
+	eventRequest eventKind = iota
+	eventDown
+	eventUp
+	eventDrain
+)
+
+func millis(t *rapid.T, name string, most int) time.Duration {
+	return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+}
+
+var events = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+	e := event{
+		after: millis(t, "after", 40), run: millis(t, "run", 300), patience: millis(t, "patience", 2000),
+		remaining: millis(t, "remaining", 3000),
+		org:       rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org"),
+		priority:  int32(rapid.IntRange(0, 2).Draw(t, "priority")),
+	}
+	switch rapid.IntRange(0, 60).Draw(t, "kind") {
+	case 0:
+		e.kind = eventDown
+	case 1, 2:
+		e.kind = eventUp
+	case 3:
+		e.kind = eventDrain
+	}
+	return e
+}), 1, 60)
+
+const testGrace = 100 * time.Millisecond
+
+// observer is what callers and the endpoint saw.
+type observer struct {
+	mu      sync.Mutex
+	slots   int
+	running int
+	ended   int
+	down    bool
+	drainAt time.Time
+	broken  []string
+}
+
+func (o *observer) fail(format string, args ...any) {
+	o.broken = append(o.broken, fmt.Sprintf(format, args...))
+}
+
+func (o *observer) started() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running++
+	if o.running > o.slots {
+		o.fail("slots: %d run", o.running)
+	}
+	if !o.drainAt.IsZero() && time.Since(o.drainAt) > testGrace {
+		o.fail("drain: start after the grace")
+	}
+}
+
+func (o *observer) finished() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running--
+}
+
+func (o *observer) request(q *Queue, e event) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.patience)
+	defer cancel()
+	release, err := q.Admit(ctx, Ticket{Organisation: e.org, Priority: e.priority, Remaining: e.remaining})
+	if err == nil {
+		o.started()
+		time.Sleep(e.run)
+		o.finished()
+		release()
+		release()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended++
+}
+
+// play runs the events and checks the queue whenever nothing moves.
+func play(t *testing.T, evs []event, slots int, mutate func(*Queue)) (broken []string) {
+	synctest.Test(t, func(t *testing.T) {
+		q, err := New(Config{Slots: slots, Queue: 20, CostTime: 100 * time.Millisecond, DrainGrace: testGrace})
+		assert.NilError(t, err)
+		o := &observer{slots: slots}
+		requests := 0
+		for _, e := range evs {
+			time.Sleep(e.after)
+			switch e.kind {
+			case eventDown, eventUp:
+				o.down = e.kind == eventDown
+				q.SetDown(o.down)
+			case eventDrain:
+				o.mu.Lock()
+				if o.drainAt.IsZero() {
+					o.drainAt = time.Now()
+					go o.drain(q)
+				}
+				o.mu.Unlock()
+			default:
+				requests++
+				go o.request(q, e)
+			}
+			q.mu.Lock()
+			mutate(q)
+			q.mu.Unlock()
+			synctest.Wait()
+			o.check(q)
+		}
+		time.Sleep(time.Hour)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if l := q.Load(); l.Queued != 0 || l.Running != 0 || len(q.sched.flows) != 0 {
+			o.fail("leak: %+v, %d flows", l, len(q.sched.flows))
+		}
+		if o.ended != requests {
+			o.fail("answers: %d of %d", o.ended, requests)
+		}
+		broken = o.broken
+		q.SetDown(true)
+	})
+	return broken
+}
+
+func (o *observer) drain(q *Queue) {
+	if err := q.Drain(context.Background()); err != nil {
+		o.fail("drain: %v", err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running > 0 {
+		o.fail("drain: returned while %d run", o.running)
+	}
+}
+
+func (o *observer) check(q *Queue) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	l := q.Load()
+	if l.Running != o.running {
+		o.fail("count: %d run, load says %d", o.running, l.Running)
+	}
+	if l.Queued > 0 && l.Running < o.slots {
+		o.fail("work conserving: %d wait, %d run", l.Queued, l.Running)
+	}
+	if l.Queued > 0 && o.down {
+		o.fail("down: %d wait", l.Queued)
+	}
+}
+
+// TestHistories checks what callers and the endpoint see.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
+		broken := play(t, events.Draw(rt, "events"), slots, func(*Queue) {})
+		assert.Equal(rt, strings.Join(broken, "; "), "")
+	})
+}
+
+// TestPlantedFaults shows that the checks see a slot too many, a slot that is
+// lost, a drain that is forgotten and an engine that is wrongly held for up.
+func TestPlantedFaults(t *testing.T) {
+	faults := map[string]func(*Queue){
+		"slots:":           func(q *Queue) { q.slots = 3 },
+		"work conserving:": func(q *Queue) { q.slots = 1 },
+		"drain:":           func(q *Queue) { q.drain = serving },
+		"leak:":            func(q *Queue) { q.running = max(q.running, 1) },
+		"down:":            func(q *Queue) { q.down = false },
+	}
+	for want, mutate := range faults {
+		t.Run(want, func(t *testing.T) {
+			for seed := range 300 {
+				if strings.Contains(strings.Join(play(t, events.Example(seed), 2, mutate), ";"), want) {
+					return
+				}
+			}
+			t.Fatal("no history shows the fault")
+		})
+	}
+}
+
+// TestSchedulerMatchesNaive compares the order of starts with a scheduler that
+// looks through all requests each time.
+func TestSchedulerMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newScheduler(0)
+		var all []*waiter
+		for _, e := range events.Draw(rt, "events") {
+			w := &waiter{ticket: Ticket{Organisation: e.org, Priority: e.priority, Share: len(e.org)}, charge: e.run.Seconds(), index: -1}
+			w.flow = s.flow(&w.ticket)
+			s.push(w)
+			all = append(all, w)
+			if e.after > 20*time.Millisecond {
+				want := naiveNext(all)
+				got := s.pop(func(*flow) bool { return true })
+				assert.Equal(rt, got, want)
+			}
+		}
+	})
+}
+
+func naiveNext(all []*waiter) *waiter {
+	var best *waiter
+	for _, w := range all {
+		if w.index < 0 {
+			continue
+		}
+		if best == nil || w.flow.before(best.flow) ||
+			w.flow == best.flow && (w.ticket.Priority > best.ticket.Priority ||
+				w.ticket.Priority == best.ticket.Priority && w.seq < best.seq) {
+			best = w
+		}
+	}
+	return best
+}
+
+func BenchmarkRefuse(b *testing.B) {
+	q, _ := New(Config{Slots: 1, Queue: 380, CostTime: time.Second})
+	for i := range 380 {
+		go func() { _, _ = q.Admit(b.Context(), Ticket{Organisation: fmt.Sprint(i)}) }()
+	}
+	for q.Load().Queued < 300 {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := q.Admit(context.Background(), Ticket{Organisation: "late", Remaining: time.Second}); err == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	q, _ := New(Config{Slots: 16, Queue: 512, CostTime: time.Millisecond})
+	b.ReportAllocs()
+	for b.Loop() {
+		release, err := q.Admit(context.Background(), Ticket{Organisation: "a"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		release()
+	}
+}
