--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,253 @@
+package lease
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
+	"github.com/cyclamenpoint/cyclamenpoint/table"
+)
+
+func TestMain(m *testing.M) {
+	// Flags of the command line are parsed later and win.
+	for _, f := range [][2]string{{"rapid.seed", "1"}, {"rapid.nofailfile", "true"}} {
+		if err := flag.Set(f[0], f[1]); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// pausable is a table whose calls wait while the process is paused.
+type pausable struct {
+	Table
+	paused atomic.Int64
+}
+
+func (p *pausable) wait() {
+	for time.Now().UnixNano() < p.paused.Load() {
+		time.Sleep(time.Duration(p.paused.Load() - time.Now().UnixNano()))
+	}
+}
+
+func (p *pausable) Get(ctx context.Context, key string) (table.Row, error) {
+	p.wait()
+	row, err := p.Table.Get(ctx, key)
+	p.wait()
+	return row, err
+}
+
+func (p *pausable) Write(ctx context.Context, ops []table.Op) ([]string, error) {
+	p.wait()
+	etags, err := p.Table.Write(ctx, ops)
+	p.wait()
+	return etags, err
+}
+
+// process is one contender.
+type process struct {
+	lease  *Lease
+	table  *pausable
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// start runs a contender in its own goroutine.
+func start(store *tablestandin.Store, name string, s Settings, seed uint64) *process {
+	p := &process{table: &pausable{Table: store}, done: make(chan struct{})}
+	s.Name, s.Owner, s.Nonce = "x", name, name+"-"+strconv.FormatUint(seed, 10)
+	p.lease = New(s, p.table, rand.New(rand.NewPCG(seed, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.lease.Run(ctx); close(p.done) }()
+	return p
+}
+
+// stop ends a contender gracefully.
+func (p *process) stop() {
+	p.cancel()
+	<-p.done
+}
+
+// sighting is one process's belief at one moment.
+type sighting struct {
+	at    time.Duration
+	owner int
+	token uint64
+}
+
+// check reads only what the processes believed: never two owners at a moment,
+// and the tokens of owners only grow.
+func check(seen []sighting) string {
+	for i := 1; i < len(seen); i++ {
+		a, b := seen[i-1], seen[i]
+		if a.at == b.at && a.owner != b.owner {
+			return fmt.Sprintf("two owners at %s: %d and %d", a.at, a.owner, b.owner)
+		}
+		if b.token < a.token || b.token == a.token && b.owner != a.owner {
+			return fmt.Sprintf("token %d of %d after %d of %d", b.token, b.owner, a.token, a.owner)
+		}
+	}
+	return ""
+}
+
+// history runs contenders through random faults and records who believed.
+func history(t *rapid.T, settings Settings) []sighting {
+	store := tablestandin.New()
+	begun := time.Now()
+	seed := uint64(0)
+	fresh := func(i int) *process {
+		seed++
+		return start(store, strconv.Itoa(i), settings, seed)
+	}
+	procs := []*process{fresh(0), fresh(1), fresh(2)}
+	var seen []sighting
+	for range rapid.IntRange(20, 60).Draw(t, "steps") {
+		i := rapid.IntRange(0, 2).Draw(t, "process")
+		switch rapid.SampledFrom([]string{"none", "pause", "restart", "lose", "late", "down", "slow", "heal"}).Draw(t, "fault") {
+		case "pause":
+			d := time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second
+			procs[i].table.paused.Store(time.Now().Add(d).UnixNano())
+		case "restart":
+			procs[i].cancel()
+			procs[i].table.paused.Store(0)
+			procs[i] = fresh(i)
+		case "lose":
+			store.LoseNext(rapid.IntRange(1, 3).Draw(t, "lost"))
+		case "late":
+			store.SetFaults(tablestandin.Faults{LateWrites: 3 * time.Second})
+		case "down":
+			store.SetFaults(tablestandin.Faults{Down: true})
+		case "slow":
+			store.SetFaults(tablestandin.Faults{Delay: 2 * time.Second})
+		case "heal":
+			store.SetFaults(tablestandin.Faults{})
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+			time.Sleep(250 * time.Millisecond)
+			for j, p := range procs {
+				if token, ok := p.lease.Held(); ok {
+					seen = append(seen, sighting{time.Since(begun), j, token})
+				}
+			}
+		}
+	}
+	for _, p := range procs {
+		p.table.paused.Store(0)
+		p.stop()
+	}
+	time.Sleep(time.Minute)
+	return seen
+}
+
+func TestOneOwnerAtATime(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			seen := history(rt, Settings{Duration: 10 * time.Second})
+			if fault := check(seen); fault != "" {
+				rt.Fatal(fault)
+			}
+		})
+	})
+}
+
+// TestCheckSeesAHolderThatBelievesTooLong plants a holder that counts on its
+// lease for longer than observers wait.
+func TestCheckSeesAHolderThatBelievesTooLong(t *testing.T) {
+	caught := 0
+	for seed := range 20 {
+		history := rapid.Custom(func(rt *rapid.T) string {
+			var fault string
+			synctest.Test(t, func(*testing.T) {
+				fault = check(history(rt, Settings{Duration: 10 * time.Second, Margin: -8 * time.Second}))
+			})
+			return fault
+		})
+		if history.Example(seed) != "" {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
+
+func TestOutageLongerThanTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tablestandin.New()
+		p := start(store, "a", Settings{}, 1)
+		first, err := p.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		store.SetFaults(tablestandin.Faults{Down: true})
+		time.Sleep(DefaultDuration)
+		_, ok := p.lease.Held()
+		assert.Assert(t, !ok, "a lease that can't be renewed lapses")
+		time.Sleep(time.Hour)
+		store.SetFaults(tablestandin.Faults{})
+		time.Sleep(DefaultDuration)
+		token, ok := p.lease.Held()
+		assert.Assert(t, ok)
+		assert.Equal(t, token, first, "nobody else had it")
+		p.stop()
+	})
+}
+
+func TestReleaseHandsOverAtOnceAndTokensGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tablestandin.New()
+		a := start(store, "a", Settings{}, 1)
+		first, err := a.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		b := start(store, "b", Settings{}, 2)
+		time.Sleep(time.Minute)
+		before := store.Counts().Writes
+		time.Sleep(time.Minute)
+		writes := store.Counts().Writes - before
+		assert.Assert(t, writes <= 24, "a renewed lease takes %d writes a minute", writes)
+		_, ok := b.lease.Held()
+		assert.Assert(t, !ok, "a renewed lease is not taken")
+		a.stop()
+		_, ok = a.lease.Held()
+		assert.Assert(t, !ok)
+		ctx, cancel := context.WithTimeout(context.Background(), DefaultDuration/2)
+		defer cancel()
+		b.lease.Observe(first + 40)
+		second, err := b.lease.Acquire(ctx)
+		assert.NilError(t, err)
+		assert.Assert(t, second > first)
+		b.stop()
+		c := start(store, "c", Settings{}, 3)
+		third, err := c.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		assert.Assert(t, third > second)
+		c.stop()
+	})
+}
+
+// TestTokenOutgrowsARestoredTable has the row go back to an older copy.
+func TestTokenOutgrowsARestoredTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tablestandin.New()
+		old := store.Snapshot()
+		a := start(store, "a", Settings{}, 1)
+		_, err := a.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		a.stop()
+		store.Restore(old)
+		b := start(store, "b", Settings{}, 2)
+		b.lease.Observe(7)
+		token, err := b.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, token, uint64(8))
+		b.stop()
+	})
+}
