Let the retry policy and its budget decide on further attempts

Cause: the dispatcher allowed 3 attempts to every failure, which multiplies the load by 3 when everything fails. Before: up to 3 attempts for each request. Conclusion: one place decides, on proof or on the route's repeat rule.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/agentconn"
@@ -13,6 +14,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/retry"
 )
 
 // Request is one caller's request after the entry's checks.
@@ -70,16 +72,6 @@
 	Revoke(ctx context.Context, address string, req *pb.RevokeRequest) (*pb.RevokeResponse, error)
 }
 
-// Retrier decides whether a request may have one more attempt, and keeps the
-// budgets.
-type Retrier interface {
-	// Retry returns how long to wait before the next attempt, and false with a
-	// reason when there must be none.
-	Retry(req *Request, result Result, attempts int, left time.Duration) (wait time.Duration, reason string, ok bool)
-	// Started counts a request's first attempt.
-	Started(req *Request)
-}
-
 // Sink takes the answer for the caller.
 type Sink interface {
 	// Head is called once, before any Data.
@@ -92,22 +84,34 @@
 type Dispatcher struct {
 	router    Router
 	agents    Agents
-	retrier   Retrier
+	policy    retry.Policy
+	budget    *retry.Budget
+	rng       *rand.Rand
 	decisions *decision.Log
 }
 
-// New returns a dispatcher.
-func New(router Router, agents Agents, retrier Retrier, decisions *decision.Log) *Dispatcher {
-	return &Dispatcher{router: router, agents: agents, retrier: retrier, decisions: decisions}
+// New returns a dispatcher. budget bounds the retries of the whole node.
+func New(router Router, agents Agents, policy retry.Policy, budget *retry.Budget, decisions *decision.Log) *Dispatcher {
+	return &Dispatcher{
+		router: router, agents: agents, policy: policy, budget: budget,
+		rng: rand.New(sharedSource{}), decisions: decisions,
+	}
 }
 
+// sharedSource draws from the runtime's random source, which many goroutines
+// may use.
+type sharedSource struct{}
+
+// Uint64 implements rand.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
 // Do runs the request until its answer is whole in sink, and then returns nil.
 // A problem after sink.Head was called leaves the answer incomplete; the
 // caller must be told so in the stream.
 func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) *problem.Problem {
 	delivery := &delivery{sink: sink}
 	var tried []string
-	d.retrier.Started(req)
+	d.budget.First(req.Organisation)
 	for attempts := 1; ; attempts++ {
 		target, err := d.pick(ctx, req, tried, delivery)
 		if err != nil {
@@ -148,16 +152,23 @@
 // one more attempt.
 func (d *Dispatcher) next(ctx context.Context, req *Request, result Result, attempts int, delivery *delivery) *problem.Problem {
 	final := result.problem(req, delivery.begun)
-	if result.final(req, delivery.begun) {
+	if result.State == CallerGone {
 		return final
 	}
-	wait, reason, ok := d.retrier.Retry(req, result, attempts, timeLeft(ctx))
-	if !ok {
-		d.decisions.Add(decision.Retry, req.ID, "no further attempt after %d: %s.", attempts, reason)
+	dec := d.policy.Next(d.budget, req.Organisation, retry.Failure{
+		Attempt:   attempts,
+		Outcome:   result.outcome(),
+		Final:     result.final(),
+		Repeat:    req.Repeat,
+		Begun:     delivery.begun,
+		Remaining: timeLeft(ctx),
+	}, d.rng)
+	if !dec.Retry {
+		d.decisions.Add(decision.Retry, req.ID, "no further attempt after %d: %s.", attempts, dec.Reason)
 		return final
 	}
-	d.decisions.Add(decision.Retry, req.ID, "attempt %d follows in %s: %s.", attempts+1, wait.Round(time.Millisecond), reason)
-	timer := time.NewTimer(wait)
+	d.decisions.Add(decision.Retry, req.ID, "attempt %d follows in %s: %s.", attempts+1, dec.After.Round(time.Millisecond), dec.Reason)
+	timer := time.NewTimer(dec.After)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 )
@@ -66,30 +66,18 @@
 	pb.RefusalReason_REFUSAL_REASON_STORE_DOWN:         problem.StoreDown,
 }
 
-// final tells whether no further attempt may follow, whatever the budget says.
-func (r Result) final(req *Request, begun bool) bool {
-	switch r.State {
-	case NotRun:
-		_, repeats := refusalKinds[r.Refusal]
-		return repeats
-	case Unknown, Broken:
-		return !repeatable(req, begun)
-	default:
-		return true
-	}
+// final tells whether every endpoint would give the same refusal.
+func (r Result) final() bool {
+	_, repeats := refusalKinds[r.Refusal]
+	return r.State == NotRun && repeats
 }
 
-// repeatable tells whether a request that may have run may run again. A
-// protected request may be sent again, because its claim decides whether it
-// runs; a generation that has begun may be resumed.
-func repeatable(req *Request, begun bool) bool {
-	if req.protected() {
-		return !begun
-	}
-	if req.Repeat != deployment.RepeatAlways {
-		return false
+// outcome is what the result proves.
+func (r Result) outcome() attempt.Outcome {
+	if r.State == NotRun {
+		return attempt.NotRun
 	}
-	return !begun || req.Model != ""
+	return attempt.Unknown
 }
 
 // problem returns what the caller is told when no further attempt follows.
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"net/http"
-	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/agentconn"
 	"github.com/cyclamenpoint/cyclamenpoint/config"
@@ -13,6 +12,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/router"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 )
@@ -20,6 +20,21 @@
 // decisionsKept is how many decisions a node remembers.
 const decisionsKept = 8192
 
+// retryPolicy and retryBudget bound the retries of an entry node.
+var (
+	retryPolicy = retry.Policy{
+		MaxAttempts: retry.DefaultMaxAttempts,
+		Base:        retry.DefaultBase,
+		Cap:         retry.DefaultCap,
+	}
+	retryBudget = retry.BudgetConfig{
+		Ratio:               retry.DefaultRatio,
+		NodeReserve:         retry.DefaultNodeReserve,
+		OrganisationReserve: retry.DefaultOrganisationReserve,
+		Organisations:       retry.DefaultOrganisations,
+	}
+)
+
 // Entry is a running entry node.
 type Entry struct {
 	entry     *entry.Entry
@@ -35,9 +50,13 @@
 		return nil, err
 	}
 	_, cancel := context.WithCancel(context.Background())
+	budget, err := retry.NewBudget(retryBudget)
+	if err != nil {
+		return nil, err
+	}
 	decisions := decision.NewLog(decisionsKept)
 	pool := agentconn.NewPool(security)
-	dispatcher := dispatch.New(router.New(holder, pool), pool, simpleRetrier{}, decisions)
+	dispatcher := dispatch.New(router.New(holder, pool), pool, retryPolicy, budget, decisions)
 	front := entry.New(entry.Options{
 		Config: holder, Dispatcher: dispatcher, Readiness: holderReady{}, Limits: s.Limits, DebugVars: s.DebugVars,
 	})
@@ -93,23 +112,3 @@
 
 // Ready implements entry.Readiness.
 func (holderReady) Ready() string { return "" }
-
-// simpleRetrier allows a few attempts.
-type simpleRetrier struct{}
-
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
-
-// Retry implements dispatch.Retrier.
-func (simpleRetrier) Retry(_ *dispatch.Request, _ dispatch.Result, attempts int, left time.Duration) (time.Duration, string, bool) {
-	if attempts >= maxAttempts {
-		return 0, "all attempts are used", false
-	}
-	if left <= 0 {
-		return 0, "the deadline has passed", false
-	}
-	return 0, "another endpoint may have room", true
-}
-
-// Started implements dispatch.Retrier.
-func (simpleRetrier) Started(*dispatch.Request) {}
