--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,6 +46,11 @@
 // protected tells whether the request runs at most once.
 func (r *Request) protected() bool { return r.Repeat == deployment.RepeatNever }
 
+// resumable tells whether an endpoint may go on with an answer that has begun.
+func (r *Request) resumable() bool {
+	return r.Model != "" && r.Repeat == deployment.RepeatAlways
+}
+
 // Target is the endpoint that an attempt goes to.
 type Target struct {
 	Endpoint    string
@@ -160,7 +165,7 @@
 		Outcome:   result.outcome(),
 		Final:     result.final(),
 		Repeat:    req.Repeat,
-		Begun:     delivery.begun,
+		Begun:     delivery.begun && !req.resumable(),
 		Remaining: timeLeft(ctx),
 	}, d.rng)
 	if !dec.Retry {
--- a/node/entry.go
+++ b/node/entry.go
@@ -40,7 +40,6 @@
 	entry     *entry.Entry
 	listeners []*listener
 	pool      *agentconn.Pool
-	cancel    context.CancelFunc
 }
 
 // StartEntry starts an entry node; sockets may be nil. Errors are *ListenError or of the settings.
@@ -49,7 +48,6 @@
 	if err != nil {
 		return nil, err
 	}
-	_, cancel := context.WithCancel(context.Background())
 	budget, err := retry.NewBudget(retryBudget)
 	if err != nil {
 		return nil, err
@@ -60,7 +58,7 @@
 	front := entry.New(entry.Options{
 		Config: holder, Dispatcher: dispatcher, Readiness: holderReady{}, Limits: s.Limits, DebugVars: s.DebugVars,
 	})
-	n := &Entry{entry: front, pool: pool, cancel: cancel}
+	n := &Entry{entry: front, pool: pool}
 	service := &service{name: s.Name, role: "entry", failureDomain: s.FailureDomain, holder: holder, decisions: decisions, inFlight: front.InFlight}
 	if err := n.listen(s, security, service, sockets); err != nil {
 		n.close()
@@ -92,7 +90,6 @@
 }
 
 func (n *Entry) close() {
-	n.cancel()
 	n.pool.Close()
 	for _, l := range n.listeners {
 		l.close()
