--- /dev/null
+++ b/claim/ledger_test.go
@@ -0,0 +1,310 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	objectstandin "github.com/cyclamenpoint/cyclamenpoint/standin/objectstore"
+	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
+)
+
+// site is a table, an object store and ledgers on them.
+type site struct {
+	t       *testing.T
+	store   *tablestandin.Store
+	objects *objectstandin.Store
+	nonce   int
+}
+
+// open starts a ledger; stop ends it.
+func (s *site) open(runner string, change func(*Settings)) (l *Ledger, stop func()) {
+	s.nonce++
+	settings := Settings{Runner: runner, Nonce: strconv.Itoa(s.nonce)}
+	if change != nil {
+		change(&settings)
+	}
+	l = New(settings, s.store, s.objects, rand.New(rand.NewPCG(1, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	return l, func() { cancel(); <-done }
+}
+
+// virtually runs a test in virtual time.
+func virtually(t *testing.T, f func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(&site{t: t, store: tablestandin.New(), objects: objectstandin.New()})
+	})
+}
+
+func keyed(key, body string) Claim {
+	return Claim{Organisation: "o", Route: "r", Key: key, Fingerprint: body, KeepAnswer: 100 * time.Minute}
+}
+
+// protect makes one protected call that takes length and answers body.
+func protect(l *Ledger, key string, length time.Duration, body []byte) (Decision, error) {
+	d, err := l.Begin(context.Background(), keyed(key, "b"))
+	if err != nil || d.Run == nil {
+		return d, err
+	}
+	time.Sleep(length)
+	return d, l.Finish(*d.Run, Answer{Status: 200, Body: body})
+}
+
+// Targets of the brief.
+const (
+	targetRequests = 500
+	targetWrites   = 100
+)
+
+func TestGroupCommitKeepsWithinTheWriteBudget(t *testing.T) {
+	virtually(t, func(s *site) {
+		var ledgers [3]*Ledger
+		for i := range ledgers {
+			l, stop := s.open(strconv.Itoa(i), nil)
+			defer stop()
+			ledgers[i] = l
+		}
+		time.Sleep(time.Second)
+		before := s.store.Counts()
+		var calls sync.WaitGroup
+		const seconds = 20
+		for n := range seconds * targetRequests {
+			calls.Go(func() {
+				d, err := protect(ledgers[n%3], strconv.Itoa(n), 20*time.Millisecond, nil)
+				assert.Check(t, err == nil && d.Run != nil, "call %d: %v", n, err)
+			})
+			time.Sleep(time.Second / targetRequests)
+		}
+		writes := s.store.Counts().Writes - before.Writes
+		calls.Wait()
+		assert.Assert(t, writes <= seconds*targetWrites, "%d writes in %d s", writes, seconds)
+	})
+}
+
+func TestTableDownForAnHour(t *testing.T) {
+	virtually(t, func(s *site) {
+		l, stop := s.open("a", nil)
+		defer stop()
+		d, err := l.Begin(context.Background(), keyed("before", "b"))
+		assert.NilError(t, err)
+		s.store.SetFaults(tablestandin.Faults{Down: true})
+		assert.NilError(t, l.Finish(*d.Run, Answer{Status: 201}), "the answer is held and goes to its caller")
+		again, err := l.Begin(context.Background(), keyed("before", "b"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Replay.Status, 201, "a repeated call gets the held answer")
+		begun := time.Now()
+		for minute := range 60 {
+			_, err = l.Begin(context.Background(), keyed(strconv.Itoa(minute), "b"))
+			assert.ErrorType(t, err, StoreDownError{})
+			time.Sleep(time.Minute)
+		}
+		assert.Assert(t, time.Since(begun) < time.Hour+2*DefaultBeginTimeout, "later refusals don't wait")
+		s.store.SetFaults(tablestandin.Faults{})
+		time.Sleep(2 * time.Second)
+		d, err = l.Begin(context.Background(), keyed("0", "b"))
+		assert.NilError(t, err)
+		assert.Assert(t, d.Run != nil, "what was refused may run now")
+		assert.NilError(t, l.Abandon(*d.Run, "test"))
+		other, stopOther := s.open("b", nil)
+		defer stopOther()
+		again, err = other.Begin(context.Background(), keyed("before", "b"))
+		assert.NilError(t, err)
+		assert.Equal(t, again.Replay.Status, 201, "the held answer is durable")
+	})
+}
+
+func TestTakenKeyDoesNotFailTheOthersOfItsBatch(t *testing.T) {
+	virtually(t, func(s *site) {
+		a, stopA := s.open("a", nil)
+		defer stopA()
+		b, stopB := s.open("b", nil)
+		defer stopB()
+		_, err := protect(a, "taken", 0, []byte("first"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		var calls sync.WaitGroup
+		for n := range 20 {
+			calls.Go(func() {
+				d, err := protect(b, strconv.Itoa(n), 0, nil)
+				assert.Check(t, err == nil && d.Run != nil, "call %d: %v", n, err)
+			})
+		}
+		calls.Go(func() {
+			d, err := protect(b, "taken", 0, nil)
+			assert.Check(t, err == nil && string(d.Replay.Body) == "first", "%v", err)
+		})
+		calls.Wait()
+	})
+}
+
+func TestSameKeyInFlight(t *testing.T) {
+	virtually(t, func(s *site) {
+		a, stopA := s.open("a", func(s *Settings) { s.MaxWaiters = 2 })
+		defer stopA()
+		b, stopB := s.open("b", nil)
+		defer stopB()
+		d, err := a.Begin(context.Background(), keyed("k", "b"))
+		assert.NilError(t, err)
+		_, err = a.Begin(context.Background(), keyed("k", "other"))
+		assert.DeepEqual(t, err, KeyConflictError{Key: "k"})
+		_, err = b.Begin(context.Background(), keyed("k", "other"))
+		assert.DeepEqual(t, err, KeyConflictError{Key: "k"})
+		_, err = b.Begin(context.Background(), keyed("k", "b"))
+		assert.ErrorType(t, err, InFlightError{})
+		var calls sync.WaitGroup
+		for range 2 {
+			calls.Go(func() {
+				d, err := a.Begin(context.Background(), keyed("k", "b"))
+				assert.Check(t, err == nil && d.Replay.Status == 204, "%v", err)
+			})
+		}
+		synctest.Wait()
+		_, err = a.Begin(context.Background(), keyed("k", "b"))
+		assert.ErrorType(t, err, InFlightError{}, "the number of waiting calls is bounded")
+		assert.NilError(t, a.Finish(*d.Run, Answer{Status: 204}))
+		calls.Wait()
+		assert.ErrorType(t, a.Finish(*d.Run, Answer{}), StaleTokenError{}, "a run ends once")
+	})
+}
+
+func TestVanishedRunnerIsListedAndResolved(t *testing.T) {
+	virtually(t, func(s *site) {
+		dead, stopDead := s.open("a", func(s *Settings) { s.DrainTimeout = 1 })
+		for _, key := range []string{"ran", "not"} {
+			_, err := dead.Begin(context.Background(), keyed(key, "b"))
+			assert.NilError(t, err)
+		}
+		stopDead()
+		a, stop := s.open("a", nil)
+		defer stop()
+		time.Sleep(time.Second)
+		_, err := a.Begin(context.Background(), keyed("ran", "b"))
+		assert.ErrorType(t, err, UnknownError{})
+		operator := NewOperator(s.store, 0)
+		open, err := operator.List(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, len(open), 2)
+		assert.ErrorType(t, operator.Resolve(context.Background(), open[0].Row, VerdictRan), TooEarlyError{})
+		time.Sleep(DefaultMaxRun + DefaultStartWithin)
+		for _, o := range open {
+			assert.Equal(t, o.State, StateUnknown)
+			verdict := VerdictRan
+			if o.Key == "not" {
+				verdict = VerdictNotRun
+			}
+			assert.NilError(t, operator.Resolve(context.Background(), o.Row, verdict))
+		}
+		_, err = a.Begin(context.Background(), keyed("ran", "b"))
+		assert.DeepEqual(t, err, AnswerGoneError{Key: "ran", Loss: LossResolved})
+		d, err := a.Begin(context.Background(), keyed("not", "b"))
+		assert.NilError(t, err)
+		assert.Assert(t, d.Run != nil)
+		open, err = operator.List(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, len(open), 1)
+		assert.Equal(t, open[0].State, StateRunning)
+		err = operator.Resolve(context.Background(), open[0].Row, VerdictNotRun)
+		assert.ErrorType(t, err, NotUnknownError{})
+	})
+}
+
+func TestRunnerWithoutSuccessorIsFoundByWatching(t *testing.T) {
+	virtually(t, func(s *site) {
+		dead, stopDead := s.open("a", nil)
+		_, err := dead.Begin(context.Background(), keyed("k", "b"))
+		assert.NilError(t, err)
+		stopDead()
+		b, stop := s.open("b", nil)
+		defer stop()
+		_, err = b.Begin(context.Background(), keyed("k", "b"))
+		assert.ErrorType(t, err, InFlightError{})
+		time.Sleep(DefaultMaxRun + time.Second)
+		_, err = b.Begin(context.Background(), keyed("k", "b"))
+		assert.ErrorType(t, err, UnknownError{})
+	})
+}
+
+func TestLargeAnswersAreKeptExpireAndAreSwept(t *testing.T) {
+	virtually(t, func(s *site) {
+		a, stopA := s.open("a", func(s *Settings) { s.KeepClaim = 48 * time.Hour })
+		defer stopA()
+		body := bytes.Repeat([]byte("x"), DefaultInlineBytes+1)
+		s.objects.LoseNext(1)
+		_, err := protect(a, "big", 0, body)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		_, err = protect(a, "next", 0, nil)
+		assert.NilError(t, err)
+		b, stopB := s.open("b", nil)
+		defer stopB()
+		d, err := b.Begin(context.Background(), keyed("big", "b"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(d.Replay.Body), len(body))
+		time.Sleep(2 * time.Hour)
+		_, err = b.Begin(context.Background(), keyed("big", "b"))
+		assert.DeepEqual(t, err, AnswerGoneError{Key: "big", Loss: LossExpired})
+		sweeper := NewSweeper(s.store, s.objects)
+		more, err := sweeper.SweepOnce(context.Background())
+		assert.Assert(t, err == nil && !more, "nothing is swept early")
+		time.Sleep(50 * time.Hour)
+		more, err = sweeper.SweepOnce(context.Background())
+		assert.Assert(t, err == nil && more)
+		_, err = s.store.Get(context.Background(), rowKey(keyed("big", "b")))
+		assert.ErrorContains(t, err, "does not exist")
+		_, err = s.objects.Get(context.Background(), "claim/a/1-1")
+		assert.ErrorContains(t, err, "does not exist")
+	})
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	virtually(t, func(s *site) {
+		l, stop := s.open("a", func(s *Settings) { s.MaxOpen, s.MaxHeldBytes = 4, 100 })
+		defer stop()
+		var runs []Token
+		for n := range 4 {
+			d, err := l.Begin(context.Background(), keyed(strconv.Itoa(n), "b"))
+			assert.NilError(t, err)
+			runs = append(runs, *d.Run)
+		}
+		_, err := l.Begin(context.Background(), keyed("more", "b"))
+		assert.DeepEqual(t, err, FullError{Open: 4})
+		s.store.SetFaults(tablestandin.Faults{Down: true})
+		for _, run := range runs {
+			assert.NilError(t, l.Finish(run, Answer{Body: make([]byte, 40)}))
+		}
+		stats := l.Stats()
+		assert.Equal(t, stats.HeldBytes, 80)
+		assert.Equal(t, stats.Dropped, int64(2))
+		s.store.SetFaults(tablestandin.Faults{})
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, l.Stats().HeldBytes, 0)
+		_, err = l.Begin(context.Background(), keyed("3", "b"))
+		assert.DeepEqual(t, err, AnswerGoneError{Key: "3", Loss: LossTooLarge})
+	})
+}
+
+func TestStopWritesTheHeldAnswers(t *testing.T) {
+	virtually(t, func(s *site) {
+		l, stop := s.open("a", nil)
+		for n := range 5 {
+			_, err := protect(l, fmt.Sprint(n), 0, nil)
+			assert.NilError(t, err)
+		}
+		stop()
+		_, err := l.Begin(context.Background(), keyed("late", "b"))
+		assert.ErrorType(t, err, ClosedError{})
+		open, err := NewOperator(s.store, 0).List(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, len(open), 0)
+	})
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -102,8 +102,30 @@
 	return ""
 }
 
-// history runs contenders through random faults and records who believed.
-func history(t *rapid.T, settings Settings) []sighting {
+// step is one step of a history: a fault at a process, and then some time.
+type step struct {
+	process int
+	fault   string
+	amount  int
+	ticks   int
+}
+
+// steps draws a history.
+func steps() *rapid.Generator[[]step] {
+	faults := []string{"none", "pause", "restart", "lose", "late", "down", "slow", "heal"}
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			process: rapid.IntRange(0, 2).Draw(t, "process"),
+			fault:   rapid.SampledFrom(faults).Draw(t, "fault"),
+			amount:  rapid.IntRange(1, 30).Draw(t, "amount"),
+			ticks:   rapid.IntRange(1, 40).Draw(t, "ticks"),
+		}
+	})
+	return rapid.SliceOfN(one, 20, 60)
+}
+
+// play runs contenders through a history and records who believed.
+func play(plan []step, settings Settings) []sighting {
 	store := tablestandin.New()
 	begun := time.Now()
 	seed := uint64(0)
@@ -113,18 +135,17 @@
 	}
 	procs := []*process{fresh(0), fresh(1), fresh(2)}
 	var seen []sighting
-	for range rapid.IntRange(20, 60).Draw(t, "steps") {
-		i := rapid.IntRange(0, 2).Draw(t, "process")
-		switch rapid.SampledFrom([]string{"none", "pause", "restart", "lose", "late", "down", "slow", "heal"}).Draw(t, "fault") {
+	for _, s := range plan {
+		p := procs[s.process]
+		switch s.fault {
 		case "pause":
-			d := time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second
-			procs[i].table.paused.Store(time.Now().Add(d).UnixNano())
+			p.table.paused.Store(time.Now().Add(time.Duration(s.amount) * time.Second).UnixNano())
 		case "restart":
-			procs[i].cancel()
-			procs[i].table.paused.Store(0)
-			procs[i] = fresh(i)
+			p.cancel()
+			p.table.paused.Store(0)
+			procs[s.process] = fresh(s.process)
 		case "lose":
-			store.LoseNext(rapid.IntRange(1, 3).Draw(t, "lost"))
+			store.LoseNext(s.amount % 4)
 		case "late":
 			store.SetFaults(tablestandin.Faults{LateWrites: 3 * time.Second})
 		case "down":
@@ -134,7 +155,7 @@
 		case "heal":
 			store.SetFaults(tablestandin.Faults{})
 		}
-		for range rapid.IntRange(1, 40).Draw(t, "ticks") {
+		for range s.ticks {
 			time.Sleep(250 * time.Millisecond)
 			for j, p := range procs {
 				if token, ok := p.lease.Held(); ok {
@@ -151,14 +172,17 @@
 	return seen
 }
 
+// verdict plays a history in virtual time and checks it.
+func verdict(t *testing.T, plan []step, settings Settings) (fault string) {
+	synctest.Test(t, func(*testing.T) { fault = check(play(plan, settings)) })
+	return fault
+}
+
 func TestOneOwnerAtATime(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		synctest.Test(t, func(*testing.T) {
-			seen := history(rt, Settings{Duration: 10 * time.Second})
-			if fault := check(seen); fault != "" {
-				rt.Fatal(fault)
-			}
-		})
+		if fault := verdict(t, steps().Draw(rt, "plan"), Settings{}); fault != "" {
+			rt.Fatal(fault)
+		}
 	})
 }
 
@@ -167,14 +191,7 @@
 func TestCheckSeesAHolderThatBelievesTooLong(t *testing.T) {
 	caught := 0
 	for seed := range 20 {
-		history := rapid.Custom(func(rt *rapid.T) string {
-			var fault string
-			synctest.Test(t, func(*testing.T) {
-				fault = check(history(rt, Settings{Duration: 10 * time.Second, Margin: -8 * time.Second}))
-			})
-			return fault
-		})
-		if history.Example(seed) != "" {
+		if verdict(t, steps().Example(seed), Settings{Margin: -8 * time.Second}) != "" {
 			caught++
 		}
 	}
--- a/table/errors.go
+++ b/table/errors.go
@@ -14,7 +14,8 @@
 
 // ConflictError says that a write had no effect because conditions failed.
 type ConflictError struct {
-	// Keys are rows whose condition failed. There may be further ones.
+	// Keys are rows whose condition failed, in the order of the operations:
+	// at least the first such row.
 	Keys []string
 }
 
