Run protected requests at most once

Cause: a second identical reservation ran again. Before: the service stand-in counted 2 runs for 2 calls with one key. After: 1 run for 4 calls over both entry nodes; the stored answer is replayed. Conclusion: the claim is durable before the endpoint sees the request.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,8 @@
 	Incarnation uint64
 	// Config holds the configuration in force.
 	Config *config.Holder
+	// Claims decides which protected requests run.
+	Claims Claims
 	// Decisions takes the agent's decisions.
 	Decisions *decision.Log
 }
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -22,6 +22,9 @@
 	if m.GetEndpoint() != a.opts.Endpoint {
 		return a.refuse(out, m, pb.RefusalReason_REFUSAL_REASON_WRONG_ENDPOINT, 0)
 	}
+	if a.unprotected(m) {
+		return a.refuse(out, m, pb.RefusalReason_REFUSAL_REASON_STALE_CONFIG, 0)
+	}
 	att, err := a.ledger.Arrive(idOf(m.GetAttempt()), attempt.Address{
 		Incarnation: m.GetIncarnation(), Stamp: attempt.Stamp(m.GetStamp()),
 	})
@@ -84,6 +87,9 @@
 	}
 	out.started()
 	a.note(m, "admitted.")
+	if m.GetProtected() {
+		return a.runProtected(ctx, out, m, att)
+	}
 	return a.run(ctx, out, m, att)
 }
 
--- a/agent/sender.go
+++ b/agent/sender.go
@@ -133,6 +133,13 @@
 	}}})
 }
 
+// replayed ends an answer that an earlier run gave.
+func (s *sender) replayed() error {
+	return s.send(&pb.ExecuteResponse{Frame: &pb.ExecuteResponse_End{End: &pb.AttemptEnd{
+		TotalBytes: s.bytes, Outcome: pb.Outcome_OUTCOME_DONE, Replayed: true,
+	}}})
+}
+
 // refuse sends the proof that the attempt did not run.
 func (s *sender) refuse(refused *pb.AttemptRefused) error {
 	return s.send(&pb.ExecuteResponse{Frame: &pb.ExecuteResponse_Refused{Refused: refused}})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -23,7 +23,10 @@
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
+	objectstorestandin "github.com/cyclamenpoint/cyclamenpoint/standin/objectstore"
 	servicestandin "github.com/cyclamenpoint/cyclamenpoint/standin/service"
+	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
+	vmliststandin "github.com/cyclamenpoint/cyclamenpoint/standin/vmlist"
 )
 
 // Sizes and times of the demo.
@@ -34,6 +37,7 @@
 	workerSlots    = 32
 	serviceTime    = 5 * time.Millisecond
 	restartTime    = time.Second
+	vmListLag      = 2 * time.Second
 	reportLag      = 200 * time.Millisecond
 	cacheBlocks    = 4096
 	prefillBlocks  = 16
@@ -51,6 +55,8 @@
 // Demo is a running demo.
 type Demo struct {
 	opts     Options
+	platform settings.Platform
+	table    *tablestandin.Store
 	engines  *enginestandin.Group
 	service  *servicestandin.Service
 	standins []*http.Server
@@ -84,6 +90,9 @@
 }
 
 func (d *Demo) start() error {
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
 	deploy := d.deployment()
 	if err := d.startEndpoints(deploy); err != nil {
 		return err
@@ -101,6 +110,26 @@
 	return d.startEntries(secret)
 }
 
+// startPlatform starts the platform's stand-ins.
+func (d *Demo) startPlatform() error {
+	d.table = tablestandin.New()
+	for _, s := range []struct {
+		url     *string
+		handler http.Handler
+	}{
+		{&d.platform.Table, d.table.Handler()},
+		{&d.platform.Objects, objectstorestandin.New().Handler()},
+		{&d.platform.VMs, vmliststandin.New(vmListLag).Handler()},
+	} {
+		address, err := d.serve(s.handler)
+		if err != nil {
+			return err
+		}
+		*s.url = "http://" + address
+	}
+	return nil
+}
+
 // deployment returns the demo's configuration without its addresses.
 func (d *Demo) deployment() *deployment.Deployment {
 	hash := sha256.Sum256([]byte(demoKey))
@@ -229,7 +258,7 @@
 	if err != nil {
 		return settings.Node{}, err
 	}
-	return settings.Node{Name: name, VM: vm, FailureDomain: failureDomain, Region: "demo", Operators: operators}, nil
+	return settings.Node{Name: name, VM: vm, FailureDomain: failureDomain, Region: "demo", Operators: operators, Platform: d.platform}, nil
 }
 
 func (d *Demo) startEntries(secret peer.Secret) error {
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +17,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
+	servicestandin "github.com/cyclamenpoint/cyclamenpoint/standin/service"
 )
 
 // testStep keeps a hundred streams well within a small CI machine.
@@ -133,6 +135,23 @@
 	}
 }
 
+func TestSecondReservationGetsTheFirstAnswer(t *testing.T) {
+	d := startDemo(t)
+	defer func() { assert.NilError(t, d.Stop(context.Background())) }()
+	header := http.Header{"Idempotency-Key": {"order-1"}}
+	for i := range 4 {
+		resp := post(t, d.Callers()[i%2]+"/services/desk/reservations", `{"item":"belt"}`, header)
+		text, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusCreated)
+		var answer servicestandin.Answer
+		assert.NilError(t, json.NewDecoder(bytes.NewReader(text)).Decode(&answer))
+		assert.Equal(t, answer, servicestandin.Answer{Key: "order-1", Run: 1})
+	}
+	assert.Equal(t, d.service.Runs("order-1"), 1)
+}
+
 func TestProblems(t *testing.T) {
 	d := startDemo(t)
 	defer func() { assert.NilError(t, d.Stop(context.Background())) }()
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -63,6 +63,7 @@
 	pb.RefusalReason_REFUSAL_REASON_KEY_CONFLICT:       problem.KeyConflict,
 	pb.RefusalReason_REFUSAL_REASON_KEY_IN_FLIGHT:      problem.KeyInFlight,
 	pb.RefusalReason_REFUSAL_REASON_CLAIM_UNKNOWN:      problem.KeyUnknown,
+	pb.RefusalReason_REFUSAL_REASON_ANSWER_GONE:        problem.AnswerGone,
 	pb.RefusalReason_REFUSAL_REASON_STORE_DOWN:         problem.StoreDown,
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -2,15 +2,22 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cyclamenpoint/cyclamenpoint/agent"
+	"github.com/cyclamenpoint/cyclamenpoint/claim"
 	"github.com/cyclamenpoint/cyclamenpoint/config"
 	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/objectstore"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
+	"github.com/cyclamenpoint/cyclamenpoint/table"
 )
 
 // Agent is a running agent.
@@ -18,6 +25,7 @@
 	agent     *agent.Agent
 	listeners []*listener
 	cancel    context.CancelFunc
+	duties    sync.WaitGroup
 }
 
 // EndpointError tells that an agent's endpoint is not in the configuration.
@@ -43,13 +51,17 @@
 	}
 	decisions := decision.NewLog(decisionsKept)
 	incarnation := uint64(time.Now().UnixNano())
-	a, err := newAgent(endpoint, incarnation, holder, decisions)
+	claims := newClaims(s)
+	a, err := newAgent(endpoint, incarnation, holder, claims, decisions)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Agent{agent: a, cancel: cancel}
-	go a.Run(ctx)
+	n.duties.Go(func() { a.Run(ctx) })
+	if endpoint.Kind == deployment.KindService {
+		n.duties.Go(func() { claims.Run(ctx) })
+	}
 	service := &service{
 		name: s.Name, role: "agent", failureDomain: s.FailureDomain, incarnation: incarnation, holder: holder, decisions: decisions,
 		inFlight: func() int { return int(a.Load().GetRunning()) },
@@ -61,17 +73,26 @@
 	return n, nil
 }
 
-func newAgent(endpoint *deployment.Endpoint, incarnation uint64, holder *config.Holder, decisions *decision.Log) (*agent.Agent, error) {
+func newAgent(endpoint *deployment.Endpoint, incarnation uint64, holder *config.Holder, claims agent.Claims, decisions *decision.Log) (*agent.Agent, error) {
 	return agent.New(agent.Options{
 		Endpoint:    endpoint.Name,
 		Address:     endpoint.Address,
 		Slots:       endpoint.Concurrency,
 		Incarnation: incarnation,
 		Config:      holder,
+		Claims:      claims,
 		Decisions:   decisions,
 	})
 }
 
+// newClaims returns the ledger of the protected requests that run here.
+func newClaims(s *settings.Agent) *claim.Ledger {
+	rows := table.NewClient(table.Settings{URL: s.Platform.Table, Timeout: s.Platform.TableTimeout}, nil)
+	objects := objectstore.NewClient(objectstore.Settings{URL: s.Platform.Objects, Timeout: s.Platform.ObjectTimeout}, nil)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return claim.New(claim.Settings{Runner: s.Endpoint, Nonce: uuid.NewString()}, rows, objects, random)
+}
+
 func (n *Agent) listen(s *settings.Agent, security *peer.Security, service *service, sockets Sockets) error {
 	mux := http.NewServeMux()
 	mux.Handle(n.agent.Handler())
@@ -96,8 +117,11 @@
 	return err
 }
 
+// close ends the agent's duties; that of the claims writes the answers that
+// it holds before it ends.
 func (n *Agent) close() {
 	n.cancel()
+	n.duties.Wait()
 	for _, l := range n.listeners {
 		l.close()
 	}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -50,6 +50,7 @@
 	KeyConflict     = Kind{"idempotency-key-conflict", "The Idempotency-Key came with another body before", http.StatusUnprocessableEntity, Refused}
 	KeyInFlight     = Kind{"idempotency-key-in-flight", "A request with this Idempotency-Key is running", http.StatusConflict, Refused}
 	KeyUnknown      = Kind{"idempotency-key-unknown", "A request with this Idempotency-Key may have run", http.StatusConflict, Unknown}
+	AnswerGone      = Kind{"answer-gone", "The request ran before, and its answer is no longer kept", http.StatusConflict, Refused}
 	OverLimit       = Kind{"over-limit", "The organisation's limit is reached", http.StatusTooManyRequests, Refused}
 	Quarantined     = Kind{"quarantined", "Requests with this content crash endpoints", http.StatusUnprocessableEntity, Refused}
 	NoCapacity      = Kind{"no-capacity", "No endpoint has room", http.StatusServiceUnavailable, NotRun}
