--- a/command/command.go
+++ b/command/command.go
@@ -99,6 +99,7 @@
 	group, _ := parser.AddCommand("config", "Check, hand over and show configurations", "Checks, hands over and shows configurations.", &struct{}{})
 	addAll(group, []subcommand{
 		{"check", "Check a configuration file", "Lists all faults of a configuration file, or prints its content hash.", &checkCommand{streams: s}},
+		{"schema", "Print the JSON Schema of a configuration", "Prints the JSON Schema of a configuration, for programs in any language.", &schemaCommand{streams: s}},
 	})
 	return parser
 }
--- a/command/config.go
+++ b/command/config.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/schema"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 )
 
@@ -44,3 +45,18 @@
 	}
 	return deployment.Parse(file, text)
 }
+
+// schemaCommand prints the JSON Schema of a configuration.
+type schemaCommand struct {
+	streams *streams
+}
+
+// Execute implements flags.Commander.
+func (c *schemaCommand) Execute([]string) error {
+	text, err := schema.JSON()
+	if err != nil {
+		return err
+	}
+	_, err = c.streams.out.Write(text)
+	return errors.Wrap(err, "print the schema")
+}
--- /dev/null
+++ b/schema/schema_test.go
@@ -0,0 +1,84 @@
+package schema
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"testing"
+
+	checker "github.com/santhosh-tekuri/jsonschema/v6"
+	"go.yaml.in/yaml/v3"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/operator"
+)
+
+const committed = "../docs/deployment.schema.json"
+
+func TestCommittedSchemaMatchesTheStructs(t *testing.T) {
+	want, err := JSON()
+	assert.NilError(t, err)
+	got, err := os.ReadFile(committed)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), string(want), "print it anew with: cyclamenpoint config schema")
+}
+
+// compiled returns the committed schema, ready to check documents.
+func compiled(t *testing.T) *checker.Schema {
+	t.Helper()
+	text, err := os.ReadFile(committed)
+	assert.NilError(t, err)
+	doc, err := checker.UnmarshalJSON(bytes.NewReader(text))
+	assert.NilError(t, err)
+	c := checker.NewCompiler()
+	assert.NilError(t, c.AddResource("deployment.json", doc))
+	s, err := c.Compile("deployment.json")
+	assert.NilError(t, err)
+	return s
+}
+
+// instance turns YAML into the values that the schema checks.
+func instance(t *testing.T, text []byte) any {
+	t.Helper()
+	var v any
+	assert.NilError(t, yaml.Unmarshal(text, &v))
+	asJSON, err := json.Marshal(v)
+	assert.NilError(t, err)
+	doc, err := checker.UnmarshalJSON(bytes.NewReader(asJSON))
+	assert.NilError(t, err)
+	return doc
+}
+
+func sample(t *testing.T) []byte {
+	t.Helper()
+	d := operator.New("sample")
+	m := d.Model("m", 16, operator.Always)
+	g := d.Group("g", m, operator.Shape{Layers: 1, Experts: 2, Slots: 2, ExpertBytes: 1}, operator.Objective{Skew: 1})
+	place := operator.Place{VM: "vm", FailureDomain: "a", Region: "r", Address: "10.0.0.1:1", Agent: "10.0.0.1:2"}
+	d.Engine("e", g, place, operator.EngineOptions{Concurrency: 1})
+	d.Organisation("o", 1, operator.Limits{Concurrent: 3}, operator.HashKey("k"))
+	d.DrainVM("vm", 50)
+	var out bytes.Buffer
+	assert.NilError(t, d.Print(&out))
+	return out.Bytes()
+}
+
+func TestSchemaTakesWhatTheLibraryPrints(t *testing.T) {
+	assert.NilError(t, compiled(t).Validate(instance(t, sample(t))))
+}
+
+func TestSchemaRefusesFaults(t *testing.T) {
+	tests := []struct{ name, old, new string }{
+		{"unknown field", "name: sample", "nam: sample"},
+		{"bad kind", "kind: engine", "kind: motor"},
+		{"text for a number", "max_tokens: 16", "max_tokens: many"},
+		{"missing weight", "    weight: 100\n", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			text := bytes.Replace(sample(t), []byte(test.old), []byte(test.new), 1)
+			assert.Assert(t, !bytes.Equal(text, sample(t)))
+			assert.Assert(t, compiled(t).Validate(instance(t, text)) != nil)
+		})
+	}
+}
