Give operators their commands, and break the path of requests in tests

Cause: status, explain, config show, diff and apply, drain and undrain were missing, and no test broke a stream.

--- a/command/command.go
+++ b/command/command.go
@@ -22,6 +22,9 @@
 // Version is the program's version.
 const Version = "0.1.0"
 
+// fullWeight is the weight of an endpoint that takes its full share.
+const fullWeight = 100
+
 // Exit codes.
 const (
 	ExitOK       = 0
@@ -93,12 +96,19 @@
 	addAll(parser.Command, []subcommand{
 		{"serve", "Run an entry node", "Runs an entry node until SIGTERM, then waits for the answers in flight.", &serveCommand{streams: s}},
 		{"demo", "Run a whole deployment on stand-ins", "Runs a whole deployment in one process over loopback, until SIGTERM.", &demoCommand{streams: s}},
+		{"status", "Show the nodes' condition", "Shows readiness, configuration and load of the named nodes, and which of them are behind.", &statusCommand{streams: s}},
+		{"explain", "Tell why a request went where it went", "Collects the named nodes' decisions on a request.", &explainCommand{streams: s}},
+		{"drain", "Take weight from an endpoint, a VM or a failure domain", "Hands over the configuration in force with a smaller weight; work in flight ends as usual.", &drainCommand{streams: s}},
+		{"undrain", "Give the weight back", "Hands over the configuration in force with the full weight.", &drainCommand{streams: s, fallback: fullWeight}},
 		{"version", "Print the version", "Prints the program's version.", &versionCommand{streams: s}},
 	})
 	// The data of a group without options is never nil.
 	group, _ := parser.AddCommand("config", "Check, hand over and show configurations", "Checks, hands over and shows configurations.", &struct{}{})
 	addAll(group, []subcommand{
 		{"check", "Check a configuration file", "Lists all faults of a configuration file, or prints its content hash.", &checkCommand{streams: s}},
+		{"apply", "Hand over a configuration", "Hands over a configuration. It is accepted once it is durable; a race gives a conflict that names the winner.", &applyCommand{streams: s}},
+		{"show", "Show the configuration in force", "Prints the configuration in force at a node, with its version and hash.", &showCommand{streams: s}},
+		{"diff", "Compare a file with the configuration in force", "Lists what would change if the file were handed over.", &diffCommand{streams: s}},
 		{"schema", "Print the JSON Schema of a configuration", "Prints the JSON Schema of a configuration, for programs in any language.", &schemaCommand{streams: s}},
 	})
 	return parser
--- /dev/null
+++ b/command/node.go
@@ -0,0 +1,99 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/settings"
+)
+
+// callTimeout bounds one call to a node.
+const callTimeout = 15 * time.Second
+
+// nodeOptions tell how to reach nodes.
+type nodeOptions struct {
+	Nodes       []string `long:"node" required:"yes" value-name:"IP:PORT" description:"a node's address for operators; may be given several times"`
+	SecretFile  string   `long:"secret-file" required:"yes" value-name:"FILE" description:"the file that holds the deployment's secret"`
+	Certificate string   `long:"tls-certificate" value-name:"FILE" description:"certificate for mutual TLS"`
+	Key         string   `long:"tls-key" value-name:"FILE" description:"key of the certificate"`
+	CA          string   `long:"tls-ca" value-name:"FILE" description:"certificate authority of the nodes"`
+}
+
+// NodeError tells that a node could not be asked.
+type NodeError struct {
+	Node  string
+	Cause error
+}
+
+// Error says which node and why.
+func (e *NodeError) Error() string { return "node " + e.Node + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NodeError) Unwrap() error { return e.Cause }
+
+// nodeClient calls one node.
+type nodeClient struct {
+	address string
+	cyclamenpointv1connect.NodeServiceClient
+}
+
+// clients returns a client for each named node.
+func (o *nodeOptions) clients() ([]nodeClient, error) {
+	text, err := os.ReadFile(o.SecretFile)
+	if err != nil {
+		return nil, &settings.FileError{File: o.SecretFile, Cause: err}
+	}
+	secret, err := peer.NewSecret(strings.TrimSpace(string(text)))
+	if err != nil {
+		return nil, err
+	}
+	security, err := peer.NewSecurity(secret, peer.Files{Certificate: o.Certificate, Key: o.Key, CA: o.CA})
+	if err != nil {
+		return nil, err
+	}
+	clients := make([]nodeClient, 0, len(o.Nodes))
+	for _, address := range o.Nodes {
+		client := &http.Client{Transport: security.Transport()}
+		clients = append(clients, nodeClient{
+			address:           address,
+			NodeServiceClient: cyclamenpointv1connect.NewNodeServiceClient(client, security.BaseURL(address)),
+		})
+	}
+	return clients, nil
+}
+
+// onAny calls nodes in order until one answers.
+func onAny[T any](o *nodeOptions, call func(context.Context, nodeClient) (*connect.Response[T], error)) (*T, error) {
+	clients, err := o.clients()
+	if err != nil {
+		return nil, err
+	}
+	var last error
+	for _, client := range clients {
+		msg, err := callNode(client, call)
+		if err == nil {
+			return msg, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+// callNode makes one call within callTimeout.
+func callNode[T any](client nodeClient, call func(context.Context, nodeClient) (*connect.Response[T], error)) (*T, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := call(ctx, client)
+	if err != nil {
+		return nil, &NodeError{Node: client.address, Cause: errors.WithStack(err)}
+	}
+	return resp.Msg, nil
+}
--- /dev/null
+++ b/deployment/drain.go
@@ -0,0 +1,64 @@
+package deployment
+
+// ScopeEndpoint names one endpoint in a call of WithWeight.
+const ScopeEndpoint Scope = "endpoint"
+
+// NotFoundError tells that a configuration has nothing of that name.
+type NotFoundError struct {
+	Scope Scope
+	Name  string
+}
+
+// Error says what is missing.
+func (e *NotFoundError) Error() string {
+	return "the configuration has no " + string(e.Scope) + " called " + e.Name
+}
+
+// WithWeight returns a copy of the configuration in which an endpoint, a VM or
+// a failure domain has the weight. Errors are *NotFoundError or
+// *strictyaml.FaultsError.
+func (d *Deployment) WithWeight(scope Scope, name string, weight int) (*Deployment, error) {
+	text, err := d.Canonical()
+	if err != nil {
+		return nil, err
+	}
+	next, err := Parse("configuration", text)
+	if err != nil {
+		return nil, err
+	}
+	if !next.setWeight(scope, name, weight) {
+		return nil, &NotFoundError{Scope: scope, Name: name}
+	}
+	text, err = next.Canonical()
+	if err != nil {
+		return nil, err
+	}
+	return Parse("configuration", text)
+}
+
+func (d *Deployment) setWeight(scope Scope, name string, weight int) bool {
+	if scope == ScopeEndpoint {
+		e := d.Endpoint(name)
+		if e == nil {
+			return false
+		}
+		e.Weight = weight
+		return true
+	}
+	w := Weight{Scope: scope, Name: name, Percent: weight}
+	checker := &checker{d: d}
+	if !checker.placed(w) {
+		return false
+	}
+	kept := d.Weights[:0]
+	for _, old := range d.Weights {
+		if old.Scope != scope || old.Name != name {
+			kept = append(kept, old)
+		}
+	}
+	d.Weights = kept
+	if weight != fullWeight {
+		d.Weights = append(d.Weights, w)
+	}
+	return true
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -117,6 +117,16 @@
 	return err
 }
 
+// Abort ends the agent at once, as the death of its process does: calls break
+// off, and nothing more is written.
+func (n *Agent) Abort() {
+	for _, l := range n.listeners {
+		l.abort()
+	}
+	n.cancel()
+	n.duties.Wait()
+}
+
 // close ends the agent's duties; that of the claims writes the answers that
 // it holds before it ends.
 func (n *Agent) close() {
--- a/node/listener.go
+++ b/node/listener.go
@@ -83,6 +83,12 @@
 	}
 }
 
+// abort breaks all connections off.
+func (l *listener) abort() {
+	// The sockets are gone whatever Close says.
+	_ = l.server.Close()
+}
+
 // plain serves without the peers' security.
 func plain(server *http.Server, socket net.Listener) error {
 	err := server.Serve(socket)
--- a/standin/engine/rank.go
+++ b/standin/engine/rank.go
@@ -68,6 +68,13 @@
 	return r.crashes
 }
 
+// Active returns the number of requests that wait or run.
+func (r *Rank) Active() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.jobs)
+}
+
 // Silence makes open streams go silent for good while new ones work.
 func (r *Rank) Silence() {
 	r.mu.Lock()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -31,6 +31,13 @@
 	return &Service{runs: make(map[string]int), delay: delay}
 }
 
+// SetDelay changes how long calls take.
+func (s *Service) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
 // Runs returns how often the service ran key.
 func (s *Service) Runs(key string) int {
 	s.mu.Lock()
@@ -55,8 +62,9 @@
 	s.mu.Lock()
 	s.runs[key]++
 	run := s.runs[key]
+	delay := s.delay
 	s.mu.Unlock()
-	time.Sleep(s.delay)
+	time.Sleep(delay)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusCreated)
 	_ = json.NewEncoder(w).Encode(Answer{Key: key, Run: run})
