Take a stream for silent only after two answers show the engine ahead

Cause: on a busy machine 2 of 100 streams were taken for silent while their data was on the way; the engine was 3 tokens ahead at the one moment it was asked. Conclusion: one observation is no proof of a dead connection.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -22,6 +22,9 @@
 	progressTimeout = time.Second
 	// progressFailures is how many questions in a row may fail.
 	progressFailures = 2
+	// lostAnswers is how many answers in a row have to show the engine ahead.
+	// One does not prove a dead connection: its data may be on the way.
+	lostAnswers = 2
 	// lostTokens is how far the engine may be ahead of what has arrived.
 	lostTokens = 2
 )
@@ -144,9 +147,13 @@
 	client    *Client
 	requestID string
 	failures  int
+	ahead     int
 }
 
-func (w *silenceWatch) heard() { w.failures = 0 }
+func (w *silenceWatch) heard() {
+	w.failures = 0
+	w.ahead = 0
+}
 
 // ask asks the engine for its progress. A nil error means that the stream is
 // slow and goes on.
@@ -161,6 +168,11 @@
 	}
 	w.failures = 0
 	if p.Running && p.Tokens <= tokens+lostTokens {
+		w.ahead = 0
+		return nil
+	}
+	w.ahead++
+	if w.ahead < lostAnswers {
 		return nil
 	}
 	return &SilentError{Address: w.client.address, Tokens: tokens}
