quarantine: find the request that crashes endpoints, free the others

Nodes hold grow-only facts (crash, requests in flight, clearances) and judge them by one pure function; suspects run one at a time at one endpoint chosen by rendezvous.

--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,138 @@
+package quarantine
+
+import (
+	"bytes"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func newList(t *testing.T, crashes int) *List {
+	t.Helper()
+	l, err := NewList(Config{Keep: time.Hour, MaxCrashes: crashes, MaxClears: 100})
+	assert.NilError(t, err)
+	return l
+}
+
+var contents = rapid.SampledFrom([]Fingerprint{"a", "b", "c", "d"})
+
+// TestMergeOrder: whatever the order and number of merges, the same facts give
+// the same entries.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var parts []News
+		for i := range rapid.IntRange(1, 6).Draw(rt, "crashes") {
+			id := CrashID{Endpoint: "e", Number: uint32(i)}
+			fps := rapid.SliceOfN(contents, 1, 3).Draw(rt, "fps")
+			parts = append(parts, News{Crashes: []Crash{{ID: id, Fingerprints: fps, Remaining: time.Hour}}})
+			if rapid.Bool().Draw(rt, "clear") {
+				by := rapid.SampledFrom([]string{"", "x"}).Draw(rt, "by")
+				parts = append(parts, News{Clears: []Clear{{Fingerprint: fps[0], Crash: id, By: by, Remaining: time.Hour}}})
+			}
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "order"), 0))
+		var want, got []Entry
+		synctest.Test(t, func(t *testing.T) {
+			one, two := newList(t, 100), newList(t, 100)
+			for _, p := range parts {
+				one.Merge(p)
+			}
+			for range 2 {
+				rng.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+				for _, p := range parts {
+					two.Merge(p)
+				}
+			}
+			assert.Assert(t, !two.Merge(one.News()))
+			want, got = one.Entries(), two.Entries()
+		})
+		assert.DeepEqual(rt, got, want)
+	})
+}
+
+// TestOperator: an operator's clearance frees a content everywhere, and a crash
+// after it counts anew.
+func TestOperator(t *testing.T) {
+	l, other := newList(t, 10), newList(t, 10)
+	l.Record(CrashID{"e", 1, 1}, []Fingerprint{"p", "a"})
+	l.Record(CrashID{"e", 1, 2}, []Fingerprint{"p"})
+	assert.Equal(t, l.State("p"), Quarantined)
+	assert.Equal(t, l.State("a"), Clean)
+	other.Merge(l.News())
+	assert.NilError(t, other.Clear("p", "eva"))
+	assert.ErrorType(t, other.Clear("p", "eva"), &UnknownError{})
+	l.Merge(other.News())
+	assert.Equal(t, l.State("p"), Clean)
+	l.Record(CrashID{"e", 1, 3}, []Fingerprint{"p"})
+	assert.Equal(t, l.State("p"), Suspect)
+}
+
+// TestExpiry: facts end everywhere although nodes keep passing them on, and the
+// number of facts stays bounded.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newList(t, 10), newList(t, 10)
+		for i := range uint32(50) {
+			a.Record(CrashID{"e", 1, i}, []Fingerprint{"p"})
+		}
+		assert.Equal(t, len(a.News().Crashes), 10)
+		for range 3700 {
+			newsA, newsB := a.News(), b.News()
+			time.Sleep(time.Second)
+			a.Merge(newsB)
+			b.Merge(newsA)
+		}
+		assert.Equal(t, a.State("p"), Clean)
+		assert.Equal(t, len(a.News().Crashes)+len(b.News().Crashes), 0)
+	})
+}
+
+// FuzzNormalise: normalising is idempotent and never joins bodies of different
+// prompts.
+func FuzzNormalise(f *testing.F) {
+	for _, s := range []string{`{"b":1, "a":[1e400,"x"],"stream":true}`, `{}`, `{"a":1}{`, `null`, "", "\xff", `{"a":{"a":"\ud800"}}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		once := normalise(body)
+		assert.DeepEqual(t, normalise(once), once)
+		a, b := Of(Content{Organisation: "o", Body: body}), Of(Content{Organisation: "o", Body: once})
+		assert.Equal(t, a, b)
+		var indented bytes.Buffer
+		if json.Indent(&indented, body, " ", "\t") == nil && bytes.HasPrefix(bytes.TrimSpace(body), []byte("{")) {
+			assert.Equal(t, Of(Content{Organisation: "o", Body: indented.Bytes()}), a)
+		}
+	})
+}
+
+// TestFingerprint: what a caller changes from one repetition to the next does
+// not matter; what the engine sees does.
+func TestFingerprint(t *testing.T) {
+	base := Content{Organisation: "o", Model: "m", Body: []byte(`{"prompt":"x","n":1}`)}
+	same := base
+	same.Body = []byte("{ \"n\": 1, \"stream\": true,\n\"prompt\":\"x\", \"user\":\"u2\"}")
+	assert.Equal(t, Of(base), Of(same))
+	for _, change := range []func(*Content){
+		func(c *Content) { c.Organisation = "p" },
+		func(c *Content) { c.Organisation, c.Model = "om", "" },
+		func(c *Content) { c.Body = []byte(`{"prompt":"y","n":1}`) },
+		func(c *Content) { c.Body = []byte(`{"prompt":"x","n":12345678901234567890}`) },
+	} {
+		c := base
+		change(&c)
+		assert.Assert(t, Of(base) != Of(c))
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	body := []byte(`{"model":"m","messages":[{"role":"user","content":"` + string(bytes.Repeat([]byte("word "), 2000)) + `"}]}`)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		Of(Content{Organisation: "o", Model: "m", Body: body})
+	}
+}
--- /dev/null
+++ b/quarantine/trial.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Trial returns the endpoint at which a suspect runs: the first of Candidates.
+// All nodes that know the same endpoints agree on it, so that copies of a
+// suspect that came through different entry nodes run one after the other. It
+// returns "" if there are no endpoints.
+func Trial(fp Fingerprint, endpoints []string) string {
+	if c := Candidates(fp, endpoints, 1); len(c) > 0 {
+		return c[0]
+	}
+	return ""
+}
+
+// Candidates returns up to n endpoints for a content by rendezvous hashing, best
+// first. An entry node that picks only among the two candidates of each request
+// bounds the endpoints that copies of one content can reach before anything is
+// known of it; different contents are still spread evenly.
+func Candidates(fp Fingerprint, endpoints []string, n int) []string {
+	type scored struct {
+		endpoint string
+		score    uint64
+	}
+	all := make([]scored, len(endpoints))
+	for i, e := range endpoints {
+		all[i] = scored{e, xxhash.Sum64String(string(fp) + "\x00" + e)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.endpoint, b.endpoint))
+	})
+	out := make([]string, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.endpoint)
+	}
+	return out
+}
