Quarantine the requests that crash endpoints

Cause: a request that crashes its engine was tried again at others without end. Before: each copy crashed an engine. The facts travel with the frames of the attempts themselves, so that an entry node and an agent know of a crash before the next copy runs. Conclusion: suspects run alone at one endpoint on which all nodes agree.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
 // Options describe an agent.
@@ -34,6 +35,8 @@
 	Config *config.Holder
 	// Claims decides which protected requests run.
 	Claims Claims
+	// Quarantine holds what this node knows of crashes.
+	Quarantine *quarantine.List
 	// Decisions takes the agent's decisions.
 	Decisions *decision.Log
 }
@@ -45,6 +48,7 @@
 	queue  *admission.Queue
 	client *engine.Client
 	watch  *watch
+	gate   *quarantine.Gate
 }
 
 // New returns an agent. Run must be called for it to notice its endpoint's
@@ -69,13 +73,10 @@
 		return nil, errors.WithStack(err)
 	}
 	client := engine.NewClient(opts.Address)
-	return &Agent{
-		opts:   opts,
-		ledger: ledger,
-		queue:  queue,
-		client: client,
-		watch:  newWatch(client, queue, opts.Endpoint),
-	}, nil
+	a := &Agent{opts: opts, ledger: ledger, queue: queue, client: client}
+	a.gate = quarantine.NewGate(opts.Quarantine, opts.Endpoint, opts.Incarnation, a.trialHere)
+	a.watch = newWatch(client, queue, a.gate, opts.Endpoint)
+	return a, nil
 }
 
 // Run watches the endpoint until ctx ends.
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
 // Execute runs one attempt. Its last frame tells what became of it.
@@ -77,6 +78,12 @@
 	defer cancel()
 	stop := cancelOnRevoke(waiting, att, cancel)
 	defer stop()
+	pass, err := a.enter(waiting, out, m, att)
+	if pass == nil {
+		return err
+	}
+	ending := quarantine.EndedBroken
+	defer func() { pass.End(ending) }()
 	release, err := a.queue.Admit(waiting, a.ticket(m))
 	if err != nil {
 		return a.notAdmitted(out, m, att, err)
@@ -85,12 +92,21 @@
 	if err := att.Start(); err != nil {
 		return a.rejected(out, m, err)
 	}
+	if err := pass.Start(); err != nil {
+		att.Finish(false)
+		return a.suspected(out, m, err)
+	}
 	out.started()
 	a.note(m, "admitted.")
 	if m.GetProtected() {
-		return a.runProtected(ctx, out, m, att)
+		err = a.runProtected(ctx, out, m, att)
+	} else {
+		err = a.run(ctx, out, m, att)
 	}
-	return a.run(ctx, out, m, att)
+	if out.whole {
+		ending = quarantine.EndedWhole
+	}
+	return err
 }
 
 // cancelOnRevoke ends the wait for a slot when the attempt is revoked.
@@ -160,6 +176,10 @@
 	if errors.As(err, &notStarted) {
 		return out.end(pb.Outcome_OUTCOME_NOT_RUN, err.Error())
 	}
+	a.watch.broke(ctx, err)
+	if a.opts.Quarantine.State(quarantine.Fingerprint(m.GetFingerprint())) != quarantine.Clean {
+		out.news = a.news()
+	}
 	return out.end(pb.Outcome_OUTCOME_BROKEN, err.Error())
 }
 
--- a/agent/protected.go
+++ b/agent/protected.go
@@ -90,6 +90,7 @@
 		return out.end(pb.Outcome_OUTCOME_NOT_RUN, err.Error())
 	}
 	a.noteClaim(m, "the outcome is unknown: %s.", err)
+	a.watch.broke(ctx, err)
 	return out.end(pb.Outcome_OUTCOME_UNKNOWN, err.Error())
 }
 
--- a/agent/sender.go
+++ b/agent/sender.go
@@ -27,6 +27,10 @@
 	queued bool
 	bytes  int64
 	keep   *record
+	// whole is true once the endpoint's whole answer has been sent.
+	whole bool
+	// news goes out with the last frame.
+	news []byte
 }
 
 // record keeps an answer for replay.
@@ -128,8 +132,9 @@
 
 // end sends the last frame of an attempt that may have run.
 func (s *sender) end(outcome pb.Outcome, detail string) error {
+	s.whole = outcome == pb.Outcome_OUTCOME_DONE
 	return s.send(&pb.ExecuteResponse{Frame: &pb.ExecuteResponse_End{End: &pb.AttemptEnd{
-		TotalBytes: s.bytes, Outcome: outcome, Detail: detail,
+		TotalBytes: s.bytes, Outcome: outcome, Detail: detail, News: s.news,
 	}}})
 }
 
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenpoint/cyclamenpoint/admission"
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
 // Terms of watching an endpoint.
@@ -22,17 +24,21 @@
 type watch struct {
 	client   *engine.Client
 	queue    *admission.Queue
+	gate     *quarantine.Gate
 	endpoint string
-	failures int
-	down     bool
+
+	// condition guards failures and down.
+	condition sync.Mutex
+	failures  int
+	down      bool
 
 	mu       sync.Mutex
 	prefixes map[uint64]struct{}
 	seq      int64
 }
 
-func newWatch(client *engine.Client, queue *admission.Queue, endpoint string) *watch {
-	return &watch{client: client, queue: queue, endpoint: endpoint, prefixes: make(map[uint64]struct{})}
+func newWatch(client *engine.Client, queue *admission.Queue, gate *quarantine.Gate, endpoint string) *watch {
+	return &watch{client: client, queue: queue, gate: gate, endpoint: endpoint, prefixes: make(map[uint64]struct{})}
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -40,9 +46,7 @@
 	defer ticker.Stop()
 	for {
 		w.health(ctx)
-		if !w.down {
-			w.events(ctx)
-		}
+		w.events(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -58,29 +62,56 @@
 	if ctx.Err() != nil {
 		return
 	}
+	w.condition.Lock()
+	defer w.condition.Unlock()
 	if err == nil {
 		w.failures = 0
-		w.set(false, "it answers")
+		w.up()
 		return
 	}
 	w.failures++
 	if w.failures >= failuresToEnd {
-		w.set(true, err.Error())
-		w.forget()
+		w.crashed(err)
 	}
 }
 
-func (w *watch) set(down bool, reason string) {
-	if w.down == down {
+// broke looks at the endpoint at once after a run broke off. A run that broke
+// off because its endpoint crashed is still in flight for the gate then. The
+// endings of the caller or of a connection are no crash.
+func (w *watch) broke(ctx context.Context, cause error) {
+	var broken *engine.BrokenError
+	if ctx.Err() != nil || !errors.As(cause, &broken) {
+		return
+	}
+	w.condition.Lock()
+	defer w.condition.Unlock()
+	if w.down {
 		return
 	}
-	w.down = down
-	w.queue.SetDown(down)
-	if down {
-		klog.Warningf("agent: endpoint %s is down: %s.", w.endpoint, reason)
+	if err := w.client.Health(ctx); err != nil && ctx.Err() == nil {
+		w.crashed(err)
+	}
+}
+
+// crashed closes the queue before it records the crash, once for each crash.
+func (w *watch) crashed(reason error) {
+	if w.down {
+		return
+	}
+	w.down = true
+	w.queue.SetDown(true)
+	id := w.gate.Crashed()
+	w.forget()
+	klog.Warningf("agent: endpoint %s is down, crash %s: %s.", w.endpoint, id, reason)
+}
+
+func (w *watch) up() {
+	if !w.down {
 		return
 	}
-	klog.Infof("agent: endpoint %s is up: %s.", w.endpoint, reason)
+	w.down = false
+	w.queue.SetDown(false)
+	klog.Infof("agent: endpoint %s is up: it answers.", w.endpoint)
 }
 
 // events takes the engine's cache events. Those of a plain service fail and
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -74,6 +74,8 @@
 	Listen string
 	// Step is the time that the engines take for a token.
 	Step time.Duration
+	// CrashOn is a text that crashes the engine that runs a prompt with it.
+	CrashOn string
 }
 
 // DefaultStep is the usual time for a token.
@@ -152,7 +154,7 @@
 func (d *Demo) startEndpoints(deploy *deployment.Deployment) error {
 	d.engines = enginestandin.NewGroup(enginestandin.Options{
 		Model: demoModel, Ranks: engines, Step: d.opts.Step, Slots: engineSlots, PrefillPerStep: prefillBlocks,
-		CacheBlocks: cacheBlocks, ReportLag: reportLag, Restart: restartTime,
+		CacheBlocks: cacheBlocks, ReportLag: reportLag, Restart: restartTime, CrashOn: d.opts.CrashOn,
 	})
 	for rank := range engines {
 		e := endpoint(rank, "engine", deployment.KindEngine, engineSlots)
--- a/deployment/lookup.go
+++ b/deployment/lookup.go
@@ -74,6 +74,29 @@
 	return g.Model
 }
 
+// Alike returns the names of the endpoints that serve what the named one does,
+// in canonical order.
+func (d *Deployment) Alike(name string) []string {
+	e := d.Endpoint(name)
+	if e == nil {
+		return nil
+	}
+	return d.Serving(d.ModelOf(e), e.Service)
+}
+
+// Serving returns the names of the endpoints that serve a model or a service,
+// in canonical order.
+func (d *Deployment) Serving(model, service string) []string {
+	var names []string
+	for i := range d.Endpoints {
+		e := &d.Endpoints[i]
+		if e.Service == service && d.ModelOf(e) == model {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // EffectiveWeight returns the endpoint's drain weight from 0 to 100 after the
 // weights of its VM and failure domain.
 func (d *Deployment) EffectiveWeight(e *Endpoint) int {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -68,6 +68,7 @@
 		Incarnation:     target.Incarnation,
 		Stamp:           target.Stamp,
 		Cost:            req.Cost,
+		News:            req.news,
 	}
 }
 
@@ -111,7 +112,7 @@
 func (a *attemptRun) end(e *pb.AttemptEnd) (bool, error) {
 	switch {
 	case e.GetOutcome() != pb.Outcome_OUTCOME_DONE:
-		a.result = Result{State: stateOf(e.GetOutcome()), Detail: e.GetDetail()}
+		a.result = Result{State: stateOf(e.GetOutcome()), Detail: e.GetDetail(), News: e.GetNews()}
 	case !a.delivery.continues():
 		a.result = Result{State: Broken, Detail: "the endpoint did not resume the stream"}
 	case e.GetTotalBytes() != a.delivery.received:
@@ -143,6 +144,7 @@
 		Detail:     refusalText(r.GetReason()),
 		RetryAfter: time.Duration(r.GetRetryAfterMillis()) * time.Millisecond,
 		Load:       r.GetLoad(),
+		News:       r.GetNews(),
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 )
 
@@ -37,8 +38,14 @@
 	Key string
 	// Fingerprint identifies the content for quarantine.
 	Fingerprint string
+	// Only names the one endpoint that the request may run at; empty allows all.
+	Only string
+	// Alike names the endpoints that serve the request.
+	Alike []string
 	// Prefixes are hashes of the prompt's prefixes, longest first.
 	Prefixes []uint64
+	// news is what this node knows of crashes, when the content is suspect.
+	news []byte
 	// ConfigVersion is the configuration by which the request is routed.
 	ConfigVersion uint64
 }
@@ -92,14 +99,16 @@
 	policy    retry.Policy
 	budget    *retry.Budget
 	rng       *rand.Rand
+	suspects  *quarantine.List
 	decisions *decision.Log
 }
 
-// New returns a dispatcher. budget bounds the retries of the whole node.
-func New(router Router, agents Agents, policy retry.Policy, budget *retry.Budget, decisions *decision.Log) *Dispatcher {
+// New returns a dispatcher. budget bounds the retries of the whole node,
+// suspects holds what it knows of crashes.
+func New(router Router, agents Agents, policy retry.Policy, budget *retry.Budget, suspects *quarantine.List, decisions *decision.Log) *Dispatcher {
 	return &Dispatcher{
 		router: router, agents: agents, policy: policy, budget: budget,
-		rng: rand.New(sharedSource{}), decisions: decisions,
+		rng: rand.New(sharedSource{}), suspects: suspects, decisions: decisions,
 	}
 }
 
@@ -118,6 +127,9 @@
 	var tried []string
 	d.budget.First(req.Organisation)
 	for attempts := 1; ; attempts++ {
+		if p := d.suspect(req); p != nil {
+			return p
+		}
 		target, err := d.pick(ctx, req, tried, delivery)
 		if err != nil {
 			return d.noTarget(req, attempts, err)
@@ -125,6 +137,7 @@
 		d.decisions.Add(decision.Dispatch, req.ID, "attempt %d goes to endpoint %s: %s.", attempts, target.Endpoint, target.Reason)
 		result := d.attempt(ctx, req, uint32(attempts), target, delivery)
 		d.router.Learn(target, result.Load, result)
+		d.hear(req, result)
 		if result.State == Done {
 			return nil
 		}
@@ -132,7 +145,10 @@
 		if p := d.next(ctx, req, result, attempts, delivery); p != nil {
 			return p
 		}
-		tried = append(tried, target.Endpoint)
+		// A suspect may run at one endpoint only, however often.
+		if req.Only == "" {
+			tried = append(tried, target.Endpoint)
+		}
 	}
 }
 
--- a/dispatch/result.go
+++ b/dispatch/result.go
@@ -45,6 +45,8 @@
 	Silent bool
 	// Load is the endpoint's load, when the agent told it.
 	Load *pb.ProbeResponse
+	// News is what the agent knows of crashes.
+	News []byte
 }
 
 // String gives the state and the detail.
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"hash/fnv"
 	"io"
@@ -18,6 +16,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
 const (
@@ -144,7 +143,8 @@
 	req.Repeat = model.Repeat
 	req.Cost = float64(tokens)
 	req.Prefixes = prefixes(body)
-	req.Fingerprint = fingerprint(in.org.Name, model.Name, in.body)
+	req.Alike = in.snapshot.Deployment.Serving(model.Name, "")
+	req.Fingerprint = string(quarantine.Of(quarantine.Content{Organisation: in.org.Name, Model: model.Name, Body: in.body}))
 	e.dispatch(w, r, req)
 }
 
@@ -169,16 +169,6 @@
 	return hashes[:min(len(hashes), maxPrefixes)]
 }
 
-func fingerprint(organisation, target string, body []byte) string {
-	h := sha256.New()
-	for _, part := range []string{organisation, target} {
-		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(body)
-	return hex.EncodeToString(h.Sum(nil))
-}
-
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	in := e.receive(w, r)
 	if in == nil {
@@ -207,7 +197,10 @@
 	}
 	req.Repeat = route.Repeat
 	req.Key = key
-	req.Fingerprint = fingerprint(in.org.Name, r.Method+" "+service.Name+req.Path, in.body)
+	req.Alike = in.snapshot.Deployment.Serving("", service.Name)
+	req.Fingerprint = string(quarantine.Of(quarantine.Content{
+		Organisation: in.org.Name, Service: service.Name, Method: r.Method, Path: req.Path, Body: in.body,
+	}))
 	e.dispatch(w, r, req)
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -16,6 +16,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/objectstore"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 	"github.com/cyclamenpoint/cyclamenpoint/table"
 )
@@ -51,8 +52,21 @@
 	}
 	decisions := decision.NewLog(decisionsKept)
 	incarnation := uint64(time.Now().UnixNano())
+	suspects, err := quarantine.NewList(quarantineBounds)
+	if err != nil {
+		return nil, err
+	}
 	claims := newClaims(s)
-	a, err := newAgent(endpoint, incarnation, holder, claims, decisions)
+	a, err := agent.New(agent.Options{
+		Endpoint:    endpoint.Name,
+		Address:     endpoint.Address,
+		Slots:       endpoint.Concurrency,
+		Incarnation: incarnation,
+		Config:      holder,
+		Claims:      claims,
+		Quarantine:  suspects,
+		Decisions:   decisions,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -63,7 +77,7 @@
 		n.duties.Go(func() { claims.Run(ctx) })
 	}
 	service := &service{
-		name: s.Name, role: "agent", failureDomain: s.FailureDomain, incarnation: incarnation, holder: holder, decisions: decisions,
+		name: s.Name, role: "agent", failureDomain: s.FailureDomain, incarnation: incarnation, holder: holder, suspects: suspects, decisions: decisions,
 		inFlight: func() int { return int(a.Load().GetRunning()) },
 	}
 	if err := n.listen(s, security, service, sockets); err != nil {
@@ -73,18 +87,6 @@
 	return n, nil
 }
 
-func newAgent(endpoint *deployment.Endpoint, incarnation uint64, holder *config.Holder, claims agent.Claims, decisions *decision.Log) (*agent.Agent, error) {
-	return agent.New(agent.Options{
-		Endpoint:    endpoint.Name,
-		Address:     endpoint.Address,
-		Slots:       endpoint.Concurrency,
-		Incarnation: incarnation,
-		Config:      holder,
-		Claims:      claims,
-		Decisions:   decisions,
-	})
-}
-
 // newClaims returns the ledger of the protected requests that run here.
 func newClaims(s *settings.Agent) *claim.Ledger {
 	rows := table.NewClient(table.Settings{URL: s.Platform.Table, Timeout: s.Platform.TableTimeout}, nil)
--- a/node/entry.go
+++ b/node/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/router"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
@@ -35,6 +36,13 @@
 	}
 )
 
+// quarantineBounds bound what a node remembers of crashes.
+var quarantineBounds = quarantine.Config{
+	Keep:       quarantine.DefaultKeep,
+	MaxCrashes: quarantine.DefaultMaxCrashes,
+	MaxClears:  quarantine.DefaultMaxClears,
+}
+
 // Entry is a running entry node.
 type Entry struct {
 	entry     *entry.Entry
@@ -52,14 +60,18 @@
 	if err != nil {
 		return nil, err
 	}
+	suspects, err := quarantine.NewList(quarantineBounds)
+	if err != nil {
+		return nil, err
+	}
 	decisions := decision.NewLog(decisionsKept)
 	pool := agentconn.NewPool(security)
-	dispatcher := dispatch.New(router.New(holder, pool), pool, retryPolicy, budget, decisions)
+	dispatcher := dispatch.New(router.New(holder, pool), pool, retryPolicy, budget, suspects, decisions)
 	front := entry.New(entry.Options{
 		Config: holder, Dispatcher: dispatcher, Readiness: holderReady{}, Limits: s.Limits, DebugVars: s.DebugVars,
 	})
 	n := &Entry{entry: front, pool: pool}
-	service := &service{name: s.Name, role: "entry", failureDomain: s.FailureDomain, holder: holder, decisions: decisions, inFlight: front.InFlight}
+	service := &service{name: s.Name, role: "entry", failureDomain: s.FailureDomain, holder: holder, suspects: suspects, decisions: decisions, inFlight: front.InFlight}
 	if err := n.listen(s, security, service, sockets); err != nil {
 		n.close()
 		return nil, err
--- a/node/service.go
+++ b/node/service.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
 // service answers operators.
@@ -23,6 +24,7 @@
 	incarnation   uint64
 	holder        *config.Holder
 	decisions     *decision.Log
+	suspects      *quarantine.List
 	inFlight      func() int
 }
 
@@ -68,3 +70,21 @@
 		AgeMillis: time.Since(snap.Since).Milliseconds(),
 	}), nil
 }
+
+// ListQuarantine implements the operators' call.
+func (s *service) ListQuarantine(context.Context, *connect.Request[pb.ListQuarantineRequest]) (*connect.Response[pb.ListQuarantineResponse], error) {
+	resp := &pb.ListQuarantineResponse{}
+	for _, e := range s.suspects.Entries() {
+		resp.Entries = append(resp.Entries, &pb.QuarantineStatus{
+			Fingerprint: string(e.Fingerprint), State: e.State.String(),
+			Crashes: uint32(len(e.Crashes)), ExpiresMillis: e.Remaining.Milliseconds(),
+		})
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// ClearQuarantine implements the operators' call.
+func (s *service) ClearQuarantine(_ context.Context, req *connect.Request[pb.ClearQuarantineRequest]) (*connect.Response[pb.ClearQuarantineResponse], error) {
+	err := s.suspects.Clear(quarantine.Fingerprint(req.Msg.GetFingerprint()), req.Msg.GetOperator())
+	return connect.NewResponse(&pb.ClearQuarantineResponse{Found: err == nil}), nil
+}
--- a/router/router.go
+++ b/router/router.go
@@ -84,7 +84,7 @@
 	var able []deployment.Endpoint
 	for i := range d.Endpoints {
 		e := &d.Endpoints[i]
-		serves := e.Service == req.Service && d.ModelOf(e) == req.Model
+		serves := e.Service == req.Service && d.ModelOf(e) == req.Model && (req.Only == "" || req.Only == e.Name)
 		if serves && !skip[e.Name] && d.EffectiveWeight(e) > 0 {
 			able = append(able, *e)
 		}
