Pick endpoints by probes of prefix homes and random ones

Cause: the router asked two random endpoints and knew nothing of prefixes, failure domains or its own evidence; a lone suspect could be sent to the very endpoint that it had just crashed, 1 time in 8. Conclusion: the picker stays pure; the router holds its probes and hints.

--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -18,7 +18,7 @@
 	if snap == nil {
 		return false
 	}
-	return quarantine.Trial(fp, snap.Deployment.Alike(a.opts.Endpoint)) == a.opts.Endpoint
+	return a.opts.Quarantine.TrialEndpoint(fp, snap.Deployment.Alike(a.opts.Endpoint)) == a.opts.Endpoint
 }
 
 // hear takes what the entry node knows of crashes.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -42,8 +42,10 @@
 	Only string
 	// Alike names the endpoints that serve the request.
 	Alike []string
-	// Prefixes are hashes of the prompt's prefixes, longest first.
-	Prefixes []uint64
+	// Prefixes are the prompt's prefixes up to each message, longest first.
+	Prefixes []Prefix
+	// PromptBlocks is the length of the whole prompt in the engines' blocks.
+	PromptBlocks int
 	// news is what this node knows of crashes, when the content is suspect.
 	news []byte
 	// ConfigVersion is the configuration by which the request is routed.
@@ -58,6 +60,14 @@
 	return r.Model != "" && r.Repeat == deployment.RepeatAlways
 }
 
+// Prefix is a beginning of a prompt.
+type Prefix struct {
+	// Hash is that of the engines' cache events.
+	Hash uint64
+	// Blocks is its length in the engines' blocks.
+	Blocks int
+}
+
 // Target is the endpoint that an attempt goes to.
 type Target struct {
 	Endpoint    string
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,9 @@
 	BodyTimeout time.Duration `yaml:"body_timeout,omitempty"`
 	// RequestTimeout is the deadline of a request.
 	RequestTimeout time.Duration `yaml:"request_timeout,omitempty"`
+	// DrainGrace is how long a stopping node goes on refusing new requests after
+	// its last answer, so that callers and the platform's balancer notice.
+	DrainGrace time.Duration `yaml:"drain_grace,omitempty"`
 }
 
 // DefaultLimits returns the limits that hold unless settings say otherwise.
@@ -52,6 +55,7 @@
 		HeaderTimeout:  5 * time.Second,
 		BodyTimeout:    30 * time.Second,
 		RequestTimeout: 10 * time.Minute,
+		DrainGrace:     time.Second,
 	}
 }
 
@@ -118,7 +122,8 @@
 	return r
 }
 
-// Drain refuses new requests as not run and returns once none is in flight.
+// Drain refuses new requests as not run. It returns DrainGrace after the last
+// one in flight has ended.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
 	klog.Infof("entry: draining, %d requests in flight.", e.InFlight())
@@ -132,7 +137,14 @@
 		}
 	}
 	klog.Info("entry: drained.")
-	return nil
+	grace := time.NewTimer(e.opts.Limits.DrainGrace)
+	defer grace.Stop()
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "drain, in the grace after the last request")
+	case <-grace.C:
+		return nil
+	}
 }
 
 func (e *Entry) readyz(w http.ResponseWriter, _ *http.Request) {
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"hash/fnv"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -23,10 +21,6 @@
 	chatPath = "/v1/chat/completions"
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
-	// prefixBlockBytes is the size of the engines' prompt blocks.
-	prefixBlockBytes = 64
-	// maxPrefixes bounds the prompt prefixes that a probe asks for.
-	maxPrefixes = 32
 	// defaultMaxTokens is the cost of a request that names no bound.
 	defaultMaxTokens = 256
 )
@@ -142,33 +136,12 @@
 	req.Path = chatPath
 	req.Repeat = model.Repeat
 	req.Cost = float64(tokens)
-	req.Prefixes = prefixes(body)
+	req.Prefixes, req.PromptBlocks = prefixes(body)
 	req.Alike = in.snapshot.Deployment.Serving(model.Name, "")
 	req.Fingerprint = string(quarantine.Of(quarantine.Content{Organisation: in.org.Name, Model: model.Name, Body: in.body}))
 	e.dispatch(w, r, req)
 }
 
-// prefixes hashes the prompt's prefixes in the way of the engines' cache
-// events, longest first.
-func prefixes(body chatBody) []uint64 {
-	h := fnv.New64a()
-	var hashes []uint64
-	var block []byte
-	for _, m := range body.Messages {
-		var content string
-		if json.Unmarshal(m.Content, &content) != nil {
-			content = string(m.Content)
-		}
-		block = append(block, m.Role+":"+content+"\n"...)
-	}
-	for piece := range slices.Chunk(block, prefixBlockBytes) {
-		_, _ = h.Write(piece)
-		hashes = append(hashes, h.Sum64())
-	}
-	slices.Reverse(hashes)
-	return hashes[:min(len(hashes), maxPrefixes)]
-}
-
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
 	in := e.receive(w, r)
 	if in == nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/picker"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/router"
@@ -66,7 +67,10 @@
 	}
 	decisions := decision.NewLog(decisionsKept)
 	pool := agentconn.NewPool(security)
-	dispatcher := dispatch.New(router.New(holder, pool), pool, retryPolicy, budget, suspects, decisions)
+	dispatcher := dispatch.New(router.New(router.Options{
+		Config: holder, Prober: pool, Members: noMembers{},
+		View: picker.Viewpoint{FailureDomain: s.FailureDomain, Region: s.Region},
+	}), pool, retryPolicy, budget, suspects, decisions)
 	front := entry.New(entry.Options{
 		Config: holder, Dispatcher: dispatcher, Readiness: holderReady{}, Limits: s.Limits, DebugVars: s.DebugVars,
 	})
@@ -116,6 +120,12 @@
 	return mux
 }
 
+// noMembers knows nothing of the endpoints.
+type noMembers struct{}
+
+// States implements router.Members.
+func (noMembers) States() map[string]picker.State { return make(map[string]picker.State) }
+
 // holderReady is ready as soon as there is a configuration.
 type holderReady struct{}
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -258,4 +258,5 @@
 	c.timeout("limits.header_timeout", l.HeaderTimeout)
 	c.timeout("limits.body_timeout", l.BodyTimeout)
 	c.timeout("limits.request_timeout", l.RequestTimeout)
+	c.timeout("limits.drain_grace", l.DrainGrace)
 }
