Test membership in virtual time

Groups around different seeds stayed apart (38 of 120 known after a minute); some digest exchanges now go to a seed.

--- /dev/null
+++ b/membership/network_test.go
@@ -0,0 +1,199 @@
+package membership_test
+
+import (
+	"context"
+	"flag"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+
+	cyclamenpointv1 "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/membership"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+const (
+	domains      = 6
+	perRegion    = 3
+	latency      = time.Millisecond
+	frameBytes   = 500
+	firstStarted = 1_000
+)
+
+// network carries messages between nodes in memory, encoded as on the wire.
+type network struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	nodes map[string]*process
+	// loss is the share of messages that vanish, either way.
+	loss float64
+	// cut says whether messages from one process to another vanish.
+	cut func(from, to *process) bool
+	// blindChecks plants a fault: every Check answers that it reached nobody.
+	blindChecks bool
+
+	bytes, messages int64
+}
+
+// process is a node in the network.
+type process struct {
+	node   *membership.Node
+	self   membership.Record
+	index  int
+	down   bool
+	cancel context.CancelFunc
+}
+
+func newNetwork() *network {
+	return &network{rng: rand.New(rand.NewPCG(1, 1)), nodes: make(map[string]*process)}
+}
+
+// start runs a process; VMs and incarnation are the caller's.
+func (n *network) start(ctx context.Context, i int, incarnation uint64, vms membership.VMs) *process {
+	domain := i % domains
+	p := &process{index: i, self: membership.Record{
+		Name:          "node-" + strconv.Itoa(i),
+		Address:       "10.0.0." + strconv.Itoa(i) + ":7000",
+		FailureDomain: "domain-" + strconv.Itoa(domain),
+		Region:        "region-" + strconv.Itoa(domain/perRegion),
+		VM:            "vm-" + strconv.Itoa(i),
+		Kind:          membership.KindAgent,
+		Incarnation:   incarnation,
+	}}
+	ctx, p.cancel = context.WithCancel(ctx)
+	p.node = membership.NewNode(membership.Config{
+		Self:      p.self,
+		Seeds:     []string{"10.0.0.0:7000", "10.0.0.1:7000", "10.0.0.2:7000"},
+		Transport: &port{net: n, from: p},
+		VMs:       vms,
+		Rand:      rand.New(rand.NewPCG(uint64(i), incarnation)),
+		Timing:    membership.DefaultTiming(),
+	})
+	n.mu.Lock()
+	n.nodes[p.self.Address] = p
+	n.mu.Unlock()
+	go p.node.Run(ctx)
+	return p
+}
+
+// startAll runs count processes and lets them find each other.
+func (n *network) startAll(ctx context.Context, t testing.TB, count int, vms membership.VMs) []*process {
+	t.Helper()
+	all := make([]*process, count)
+	for i := range all {
+		all[i] = n.start(ctx, i, firstStarted, vms)
+	}
+	time.Sleep(time.Minute)
+	for _, p := range all {
+		assert.Equal(t, aliveAt(p), count, "%s did not find all", p.self.Name)
+	}
+	return all
+}
+
+// kill silences a process.
+func (n *network) kill(p *process) {
+	n.mu.Lock()
+	p.down = true
+	n.mu.Unlock()
+	p.cancel()
+}
+
+// deliver says whether a message gets through, and counts it.
+func (n *network) deliver(from, to *process, size int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.messages++
+	n.bytes += int64(size + frameBytes/2)
+	if to == nil || to.down || from.down || n.rng.Float64() < n.loss {
+		return false
+	}
+	return n.cut == nil || !n.cut(from, to)
+}
+
+func (n *network) at(address string) *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[address]
+}
+
+// port is one process's transport.
+type port struct {
+	net  *network
+	from *process
+}
+
+// send moves an encoded message and reports false when it is lost, after the
+// caller's context has ended.
+func (p *port) send(ctx context.Context, from, to *process, in, out proto.Message) bool {
+	b, _ := proto.Marshal(in)
+	if !p.net.deliver(from, to, len(b)) {
+		<-ctx.Done()
+		return false
+	}
+	time.Sleep(latency)
+	return proto.Unmarshal(b, out) == nil
+}
+
+func (p *port) Exchange(ctx context.Context, address string, req *cyclamenpointv1.ExchangeRequest) (*cyclamenpointv1.ExchangeResponse, error) {
+	to := p.net.at(address)
+	got, resp := &cyclamenpointv1.ExchangeRequest{}, &cyclamenpointv1.ExchangeResponse{}
+	if !p.send(ctx, p.from, to, req, got) {
+		return nil, ctx.Err()
+	}
+	if !p.send(ctx, to, p.from, to.node.HandleExchange(got), resp) {
+		return nil, ctx.Err()
+	}
+	return resp, nil
+}
+
+func (p *port) Check(ctx context.Context, address string, req *cyclamenpointv1.CheckRequest) (*cyclamenpointv1.CheckResponse, error) {
+	to := p.net.at(address)
+	got, resp := &cyclamenpointv1.CheckRequest{}, &cyclamenpointv1.CheckResponse{}
+	if !p.send(ctx, p.from, to, req, got) {
+		return nil, ctx.Err()
+	}
+	answer := to.node.HandleCheck(ctx, got)
+	answer.Reached = answer.Reached && !p.net.blindChecks
+	if !p.send(ctx, to, p.from, answer, resp) {
+		return nil, ctx.Err()
+	}
+	return resp, nil
+}
+
+// list is a VM list that tests change.
+type list struct {
+	mu      sync.Mutex
+	vms     int
+	leaving map[string]bool
+}
+
+func (l *list) List(context.Context) ([]membership.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]membership.VM, l.vms)
+	for i := range all {
+		name := "vm-" + strconv.Itoa(i)
+		all[i] = membership.VM{Name: name, Leaving: l.leaving[name]}
+	}
+	return all, nil
+}
+
+// takesWork says whether p would send new work to other.
+func takesWork(p, other *process) bool {
+	m, ok := p.node.Member(other.self.Name)
+	return ok && m.Health == membership.Alive && !m.Leaving
+}
--- /dev/null
+++ b/membership/node_test.go
@@ -0,0 +1,317 @@
+package membership_test
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	cyclamenpointv1 "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/membership"
+)
+
+const (
+	deadMedian    = 3 * time.Second
+	deadP99       = 5 * time.Second
+	leavingBound  = 3 * time.Second
+	members       = 120
+	lossShare     = 0.01
+	pollPeriod    = 50 * time.Millisecond
+	partitionTime = 3 * time.Minute
+)
+
+// run gives f a network in virtual time.
+func run(t *testing.T, f func(ctx context.Context, n *network)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f(ctx, newNetwork())
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// untilNoWork returns, for each observer and target, how long the observer
+// would still send new work.
+func untilNoWork(observers, targets []*process, limit time.Duration) []time.Duration {
+	start := time.Now()
+	var took []time.Duration
+	open := make(map[[2]int]bool)
+	for _, o := range observers {
+		for _, target := range targets {
+			open[[2]int{o.index, target.index}] = true
+		}
+	}
+	for len(open) > 0 && time.Since(start) < limit {
+		time.Sleep(pollPeriod)
+		for _, o := range observers {
+			for _, target := range targets {
+				key := [2]int{o.index, target.index}
+				if open[key] && !takesWork(o, target) {
+					delete(open, key)
+					took = append(took, time.Since(start))
+				}
+			}
+		}
+	}
+	for range open {
+		took = append(took, limit)
+	}
+	slices.Sort(took)
+	return took
+}
+
+func checkDead(t *testing.T, took []time.Duration) {
+	t.Helper()
+	median, p99 := took[len(took)/2], took[len(took)*99/100]
+	t.Logf("no new work to the dead: median %s, p99 %s, longest %s, n=%d", median, p99, took[len(took)-1], len(took))
+	assert.Assert(t, median <= deadMedian, "median %s", median)
+	assert.Assert(t, p99 <= deadP99, "p99 %s", p99)
+}
+
+func TestDeadProcessesGetNoNewWork(t *testing.T) {
+	run(t, func(ctx context.Context, n *network) {
+		all := n.startAll(ctx, t, members, nil)
+		n.loss = lossShare
+		var took []time.Duration
+		for k := range 10 {
+			p := all[20+k*7]
+			n.kill(p)
+			took = append(took, untilNoWork(all[:20], []*process{p}, 20*time.Second)...)
+			time.Sleep(7300 * time.Millisecond)
+		}
+		slices.Sort(took)
+		checkDead(t, took)
+	})
+}
+
+func TestLostFailureDomainGetsNoNewWork(t *testing.T) {
+	run(t, func(ctx context.Context, n *network) {
+		all := n.startAll(ctx, t, members, nil)
+		var lost, left []*process
+		for _, p := range all {
+			if p.index%domains == 2 {
+				n.kill(p)
+				lost = append(lost, p)
+			} else {
+				left = append(left, p)
+			}
+		}
+		checkDead(t, untilNoWork(left, lost, 20*time.Second))
+		for _, p := range left {
+			assert.Assert(t, !p.node.Distrusted())
+		}
+	})
+}
+
+// suspicions runs a network under loss and counts what was wrongly suspected.
+func suspicions(t *testing.T, blindChecks bool) (count int64, nodeDays float64) {
+	const nodes, period = 48, 15 * time.Minute
+	run(t, func(ctx context.Context, n *network) {
+		all := n.startAll(ctx, t, nodes, nil)
+		n.mu.Lock()
+		n.loss, n.blindChecks = lossShare, blindChecks
+		n.mu.Unlock()
+		time.Sleep(period)
+		for _, p := range all {
+			count += p.node.Stats().Suspicions.Load()
+		}
+	})
+	return count, nodes * period.Hours() / 24
+}
+
+func TestFewFalseSuspicions(t *testing.T) {
+	count, nodeDays := suspicions(t, false)
+	t.Logf("%d false suspicions in %.2f node-days at 1%% loss", count, nodeDays)
+	assert.Assert(t, float64(count) <= nodeDays)
+}
+
+// TestUnconfirmedSuspicionsAreFound plants a fault: helpers confirm what they
+// did not see.
+func TestUnconfirmedSuspicionsAreFound(t *testing.T) {
+	count, nodeDays := suspicions(t, true)
+	assert.Assert(t, float64(count) > nodeDays, "the planted fault passed: %d", count)
+}
+
+// aliveAt counts the processes that p takes for alive, itself included.
+func aliveAt(p *process) int {
+	count := 0
+	for _, m := range p.node.Members() {
+		if m.Health == membership.Alive {
+			count++
+		}
+	}
+	return count
+}
+
+// TestPartitions cuts the network in several ways for minutes. Each side keeps
+// its own, and all find each other afterwards.
+func TestPartitions(t *testing.T) {
+	region := func(p *process) int { return p.index % domains / perRegion }
+	domain := func(p *process) int { return p.index % domains }
+	for _, c := range []struct {
+		name string
+		cut  func(from, to *process) bool
+		// alive is the least number of processes that each one keeps.
+		alive int
+	}{
+		{"regions", func(from, to *process) bool { return region(from) != region(to) }, members / 2},
+		{"one failure domain", func(from, to *process) bool { return (domain(from) == 4) != (domain(to) == 4) }, members / domains},
+		{"one way between two failure domains", func(from, to *process) bool { return domain(from) == 1 && domain(to) == 5 }, members},
+		{"one process", func(from, to *process) bool { return from.index == 9 || to.index == 9 }, members - 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(ctx context.Context, n *network) {
+				all := n.startAll(ctx, t, members, nil)
+				n.setCut(c.cut)
+				time.Sleep(partitionTime)
+				for _, p := range all {
+					assert.Assert(t, aliveAt(p) >= c.alive, "%s keeps %d", p.self.Name, aliveAt(p))
+				}
+				n.setCut(nil)
+				time.Sleep(30 * time.Second)
+				for _, p := range all {
+					assert.Equal(t, aliveAt(p), members, "%s after the partition", p.self.Name)
+				}
+			})
+		})
+	}
+}
+
+func (n *network) setCut(cut func(from, to *process) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
+// TestLeavingNeedsOneSign loses one of the two signs in turn.
+func TestLeavingNeedsOneSign(t *testing.T) {
+	for _, ownSign := range []bool{true, false} {
+		t.Run("own sign "+strconv.FormatBool(ownSign), func(t *testing.T) {
+			run(t, func(ctx context.Context, n *network) {
+				vms := &list{vms: members, leaving: make(map[string]bool)}
+				all := n.startAll(ctx, t, members, vms)
+				leaver := all[50]
+				if ownSign {
+					leaver.node.Leave()
+				} else {
+					vms.mu.Lock()
+					vms.leaving[leaver.self.VM] = true
+					vms.mu.Unlock()
+				}
+				took := untilNoWork(all[:50], []*process{leaver}, 20*time.Second)
+				t.Logf("no new work to the leaver after %s", took[len(took)-1])
+				assert.Assert(t, took[len(took)-1] <= leavingBound)
+			})
+		})
+	}
+}
+
+// sight is one observer's record of a member.
+type sight struct {
+	observer, member string
+	incarnation      uint64
+}
+
+// backwards returns the first sight whose incarnation is lower than an earlier
+// one of the same observer.
+func backwards(record []sight) (sight, bool) {
+	highest := make(map[[2]string]uint64)
+	for _, s := range record {
+		key := [2]string{s.observer, s.member}
+		if s.incarnation < highest[key] {
+			return s, true
+		}
+		highest[key] = s.incarnation
+	}
+	return sight{}, false
+}
+
+// TestRestartTakesNewIncarnation restarts processes, one of them with a clock
+// that is behind, and replays what the old incarnations said.
+func TestRestartTakesNewIncarnation(t *testing.T) {
+	run(t, func(ctx context.Context, n *network) {
+		all := n.startAll(ctx, t, 24, nil)
+		var record []sight
+		look := func() {
+			for _, p := range all[:8] {
+				for _, m := range p.node.Members() {
+					record = append(record, sight{p.self.Name, m.Name, m.Incarnation})
+				}
+			}
+		}
+		look()
+		old := []membership.Record{all[10].node.Self(), all[11].node.Self()}
+		all[10].node.Leave()
+		time.Sleep(time.Second)
+		for k, incarnation := range []uint64{firstStarted + 5, firstStarted - 5} {
+			n.kill(all[10+k])
+			time.Sleep(2 * time.Second)
+			all[10+k] = n.start(ctx, 10+k, incarnation, nil)
+			time.Sleep(10 * time.Second)
+			look()
+		}
+		for k, r := range old {
+			r.Leaving = true
+			r.Health = membership.Dead
+			r.Sequence = 1 << 40
+			replay(all[0], r)
+			look()
+			assert.Assert(t, all[10+k].node.Self().Incarnation > old[k].Incarnation)
+		}
+		time.Sleep(10 * time.Second)
+		look()
+		for _, p := range all[:8] {
+			for k := range 2 {
+				assert.Assert(t, takesWork(p, all[10+k]), "%s sends no work to restarted %s", p.self.Name, all[10+k].self.Name)
+			}
+		}
+		_, back := backwards(record)
+		assert.Assert(t, !back)
+	})
+}
+
+// TestIgnoredIncarnationIsFound plants a fault: a merge by sequence alone.
+func TestIgnoredIncarnationIsFound(t *testing.T) {
+	merge := func(a, b membership.Record) membership.Record {
+		if b.Sequence > a.Sequence {
+			return b
+		}
+		return a
+	}
+	view := membership.Record{Name: "x", Incarnation: 2}
+	record := []sight{{"o", "x", view.Incarnation}}
+	view = merge(view, membership.Record{Name: "x", Incarnation: 1, Sequence: 9})
+	record = append(record, sight{"o", "x", view.Incarnation})
+	_, back := backwards(record)
+	assert.Assert(t, back, "the planted fault passed")
+}
+
+// replay gives p an old record as if it came late.
+func replay(p *process, r membership.Record) {
+	p.node.HandleExchange(&cyclamenpointv1.ExchangeRequest{Members: []*cyclamenpointv1.Member{{
+		Name: r.Name, Address: r.Address, Incarnation: r.Incarnation, Sequence: r.Sequence,
+		Health: cyclamenpointv1.Health(r.Health + 1), Leaving: r.Leaving,
+	}}})
+}
+
+func TestItemsReachAll(t *testing.T) {
+	run(t, func(ctx context.Context, n *network) {
+		all := n.startAll(ctx, t, members, nil)
+		n.loss = lossShare
+		item := membership.Item{ItemKey: membership.ItemKey{Kind: "quarantine", Key: "f"}, Version: 1, Expires: time.Now().Add(time.Minute)}
+		assert.NilError(t, all[3].node.Publish(item))
+		time.Sleep(5 * time.Second)
+		for _, p := range all {
+			assert.Equal(t, len(p.node.Items("quarantine")), 1, "%s", p.self.Name)
+		}
+		time.Sleep(time.Minute)
+		for _, p := range all {
+			assert.Equal(t, len(p.node.Items("quarantine")), 0, "%s", p.self.Name)
+		}
+	})
+}
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -16,6 +16,10 @@
 	// reconnectEvery is the share of digest exchanges that go to a process that
 	// looks ill, so that sides of a healed partition find each other.
 	reconnectEvery = 5
+	// seedRounds and membersPerSeedRound set the share of digest exchanges that
+	// go to a seed: one in seedRounds, or rarer with more members.
+	seedRounds          = 5
+	membersPerSeedRound = 8
 	// anywhereEvery is the share of digest exchanges that may leave the own
 	// failure domain.
 	anywhereEvery = 3
@@ -114,11 +118,15 @@
 func (n *Node) sync(ctx context.Context) {
 	for round := 0; ; round++ {
 		target, ok := n.syncPeer(round)
-		if ok {
+		switch {
+		case !ok:
+			n.join(ctx)
+		case n.seedRound():
+			n.stats.Syncs.Add(1)
+			n.syncWith(ctx, Record{Address: n.seed()})
+		default:
 			n.stats.Syncs.Add(1)
 			n.syncWith(ctx, target)
-		} else {
-			n.join(ctx)
 		}
 		if !wait(ctx, n.jitter(n.cfg.Timing.SyncPeriod)) {
 			return
@@ -171,15 +179,32 @@
 	n.exchange(ctx, target, &cyclamenpointv1.ExchangeRequest{To: target.Name, Members: p.members, Items: p.items})
 }
 
+// seedRound says whether a round goes to a seed. Processes that started at once
+// can form groups around different seeds; these rounds join them. The more
+// processes are known, the more rarely each of them does it.
+func (n *Node) seedRound() bool {
+	if len(n.cfg.Seeds) == 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.IntN(max(len(n.table.members)/membersPerSeedRound, seedRounds)) == 0
+}
+
+// seed returns a random seed.
+func (n *Node) seed() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cfg.Seeds[n.rng.IntN(len(n.cfg.Seeds))]
+}
+
 // join learns the others from a random seed.
 func (n *Node) join(ctx context.Context) {
 	if len(n.cfg.Seeds) == 0 {
 		return
 	}
-	n.mu.Lock()
-	address := n.cfg.Seeds[n.rng.IntN(len(n.cfg.Seeds))]
-	self := n.table.Self()
-	n.mu.Unlock()
+	address := n.seed()
+	self := n.Self()
 	if address == self.Address {
 		return
 	}
