--- /dev/null
+++ b/membership/measure_test.go
@@ -0,0 +1,181 @@
+package membership_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	cyclamenpointv1 "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/membership"
+)
+
+// cpu returns the processor time that this process used.
+func cpu(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
+// TestMeasure prints what a node spends on membership: processes, messages and
+// bytes a second both ways, percent of a core, heap and stacks in KB; first in
+// rest, then with an item published each 10 s and a restart each 30 s.
+func TestMeasure(t *testing.T) {
+	if !testing.Verbose() || testing.Short() {
+		t.Skip("prints a table; run with -run Measure -v")
+	}
+	for _, count := range []int{16, 64, 256, 600, 950} {
+		before := heap()
+		run(t, func(ctx context.Context, n *network) {
+			all := n.startAll(ctx, t, count, nil)
+			t.Logf("| %d | start, 60 s |%s", count, n.spent(t, count, time.Minute, func() {}))
+			t.Logf("| %d | rest |%s %d |", count, n.spent(t, count, time.Minute, func() { time.Sleep(time.Minute) }), (heap()-before)/uint64(count)/1024)
+			t.Logf("| %d | changes |%s %d |", count, n.spent(t, count, time.Minute, func() { change(ctx, t, n, all) }), (heap()-before)/uint64(count)/1024)
+			took := deaths(n, all)
+			t.Logf("| %d | no new work to the dead | median %s | p99 %s | longest %s |", count, took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
+		})
+	}
+}
+
+// deaths kills some processes under loss and returns how long others would
+// still send them work.
+func deaths(n *network, all []*process) []time.Duration {
+	n.mu.Lock()
+	n.loss = lossShare
+	n.mu.Unlock()
+	var took []time.Duration
+	for k := range 5 {
+		p := all[len(all)-1-k]
+		n.kill(p)
+		took = append(took, untilNoWork(all[:8], []*process{p}, 20*time.Second)...)
+		time.Sleep(7300 * time.Millisecond)
+	}
+	slices.Sort(took)
+	return took
+}
+
+// TestMeasureSuspicions counts false suspicions over hours of virtual time.
+func TestMeasureSuspicions(t *testing.T) {
+	if !testing.Verbose() || testing.Short() {
+		t.Skip("prints a figure; run with -run Measure -v")
+	}
+	count, nodeDays := suspicions(t, 4*time.Hour, false)
+	t.Logf("%d false suspicions in %.2f node-days at 1%% loss", count, nodeDays)
+}
+
+// change spends a minute with changes.
+func change(ctx context.Context, t *testing.T, n *network, all []*process) {
+	for k := range 6 {
+		item := membership.Item{ItemKey: membership.ItemKey{Kind: "config"}, Version: uint64(k + 1), Value: make([]byte, 64)}
+		assert.NilError(t, all[k].node.Publish(item))
+		if k%3 == 0 {
+			n.kill(all[8+k])
+		}
+		time.Sleep(10 * time.Second)
+		if k%3 == 2 {
+			all[8+k-2] = n.start(ctx, 8+k-2, firstStarted+1, nil)
+		}
+	}
+}
+
+// spent runs work and returns what each node spent, as columns. Without work it
+// reports what was spent since the network began.
+func (n *network) spent(t *testing.T, count int, period time.Duration, work func()) string {
+	t.Helper()
+	n.mu.Lock()
+	bytes, messages := n.bytes, n.messages
+	n.mu.Unlock()
+	start, began := cpu(t), time.Now()
+	work()
+	if time.Since(began) == 0 {
+		bytes, messages = 0, 0
+	}
+	used := cpu(t) - start
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	per := float64(count) * period.Seconds()
+	// Each message is sent by one node and received by another.
+	return " " + strconv.FormatFloat(2*float64(n.messages-messages)/per, 'f', 1, 64) +
+		" | " + strconv.FormatFloat(2*float64(n.bytes-bytes)/per, 'f', 0, 64) +
+		" | " + strconv.FormatFloat(100*used.Seconds()/per, 'f', 3, 64) + " |"
+}
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// TestHTTPTransport serves a node over loopback and talks to it.
+func TestHTTPTransport(t *testing.T) {
+	self := membership.Record{Name: "a", Address: "127.0.0.1:1", Incarnation: 4, Kind: membership.KindEntry}
+	node := membership.NewNode(membership.Config{Self: self, Timing: membership.DefaultTiming()})
+	mux := http.NewServeMux()
+	mux.Handle(membership.NewHandler(node))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+
+	var bytes atomic.Int64
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return counted{conn, &bytes}, err
+	}
+	transport := membership.NewHTTPTransport(&http.Client{Transport: &http.Transport{DialContext: dial}})
+	req := &cyclamenpointv1.ExchangeRequest{To: "a", All: true}
+	const calls = 100
+	for range calls {
+		resp, err := transport.Exchange(t.Context(), listener.Addr().String(), req)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.GetName(), "a")
+		assert.Equal(t, len(resp.GetMembers()), 1)
+	}
+	t.Logf("%d bytes a call over HTTP/1.1, both ways", bytes.Load()/calls)
+}
+
+func BenchmarkHTTPExchange(b *testing.B) {
+	node := membership.NewNode(membership.Config{Self: membership.Record{Name: "a"}, Timing: membership.DefaultTiming()})
+	mux := http.NewServeMux()
+	mux.Handle(membership.NewHandler(node))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	transport := membership.NewHTTPTransport(&http.Client{Transport: &http.Transport{}})
+	req := &cyclamenpointv1.ExchangeRequest{To: "a"}
+	for b.Loop() {
+		_, err := transport.Exchange(b.Context(), listener.Addr().String(), req)
+		assert.NilError(b, err)
+	}
+}
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -27,10 +27,11 @@
 }
 
 const (
-	domains      = 6
-	perRegion    = 3
-	latency      = time.Millisecond
-	frameBytes   = 500
+	domains   = 6
+	perRegion = 3
+	latency   = time.Millisecond
+	// callBytes is added to each call for HTTP and TCP headers, both ways.
+	callBytes    = 600
 	firstStarted = 1_000
 )
 
@@ -117,7 +118,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.messages++
-	n.bytes += int64(size + frameBytes/2)
+	n.bytes += int64(size + callBytes/2)
 	if to == nil || to.down || from.down || n.rng.Float64() < n.loss {
 		return false
 	}
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -22,6 +22,7 @@
 	lossShare     = 0.01
 	pollPeriod    = 50 * time.Millisecond
 	partitionTime = 3 * time.Minute
+	suspicionTime = 15 * time.Minute
 )
 
 // run gives f a network in virtual time.
@@ -109,8 +110,8 @@
 }
 
 // suspicions runs a network under loss and counts what was wrongly suspected.
-func suspicions(t *testing.T, blindChecks bool) (count int64, nodeDays float64) {
-	const nodes, period = 48, 15 * time.Minute
+func suspicions(t *testing.T, period time.Duration, blindChecks bool) (count int64, nodeDays float64) {
+	const nodes = 48
 	run(t, func(ctx context.Context, n *network) {
 		all := n.startAll(ctx, t, nodes, nil)
 		n.mu.Lock()
@@ -125,7 +126,7 @@
 }
 
 func TestFewFalseSuspicions(t *testing.T) {
-	count, nodeDays := suspicions(t, false)
+	count, nodeDays := suspicions(t, suspicionTime, false)
 	t.Logf("%d false suspicions in %.2f node-days at 1%% loss", count, nodeDays)
 	assert.Assert(t, float64(count) <= nodeDays)
 }
@@ -133,7 +134,7 @@
 // TestUnconfirmedSuspicionsAreFound plants a fault: helpers confirm what they
 // did not see.
 func TestUnconfirmedSuspicionsAreFound(t *testing.T) {
-	count, nodeDays := suspicions(t, true)
+	count, nodeDays := suspicions(t, suspicionTime, true)
 	assert.Assert(t, float64(count) > nodeDays, "the planted fault passed: %d", count)
 }
 
