quota: limits over all entry nodes by thinning to limit over demand

Each node measures its own demand, is told the others' sum every 2 s, and admits limit over sum of its own demand; a bucket at the whole limit bounds one node.

--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,161 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+)
+
+// naive is one bucket for the whole deployment.
+type naive struct{ bucket *rate.Limiter }
+
+func (n naive) admit(int) bool { return n.bucket.Allow() }
+func (naive) observe(int)      {}
+
+// deaf hears nothing from the others: the planted fault.
+type deaf struct{ *limiters }
+
+func (deaf) observe(int) {}
+
+// compare returns how the steady rate differs from the naive bucket's.
+func compare(t *testing.T, r run, limit float64, mk func() way) string {
+	want := mean(r.play(t, func() way { return naive{rate.NewLimiter(rate.Limit(limit), int(2*limit))} }).admitted)
+	got := mean(r.play(t, mk).admitted)
+	if got > 1.05*want || got < 0.90*want {
+		return fmt.Sprintf("%+v: %.2f/s, one bucket %.2f/s", r, got, want)
+	}
+	return ""
+}
+
+// TestSteady: in steady demand the entry nodes together admit at most 5% more
+// and at most 10% less than one bucket would.
+func TestSteady(t *testing.T) {
+	const limit = 20.0
+	for _, c := range []struct {
+		entries int
+		load    float64
+	}{{2, 0.9}, {2, 2}, {10, 1}, {350, 2}} {
+		r := run{entries: c.entries, skew: 1.5, length: 230 * time.Second, demand: steady(c.load * limit), seed: 5}
+		assert.Equal(t, compare(t, r, limit, func() way { return newLimiters(t, c.entries, limit, DefaultWindow) }), "")
+	}
+	r := run{entries: 10, length: 330 * time.Second, demand: steady(40), seed: 5}
+	assert.Assert(t, compare(t, r, 20, func() way { return deaf{newLimiters(t, 10, 20, DefaultWindow)} }) != "")
+}
+
+func newLimiter(t *testing.T) *Limiter {
+	t.Helper()
+	l, err := New(Config{Window: DefaultWindow, Hold: DefaultHold}, rand.New(rand.NewPCG(1, 1)))
+	assert.NilError(t, err)
+	return l
+}
+
+// TestConcurrent: own and others' requests count until they have ended.
+func TestConcurrent(t *testing.T) {
+	l := newLimiter(t)
+	limits := deployment.Limits{Concurrent: 3}
+	l.Observe(map[string]Usage{"o": {Concurrent: 1}})
+	first, err := l.Admit("o", limits, 0)
+	assert.NilError(t, err)
+	_, err = l.Admit("o", limits, 0)
+	assert.NilError(t, err)
+	_, err = l.Admit("o", limits, 0)
+	assert.ErrorType(t, err, &LimitedError{})
+	first.Done(-1)
+	first.Done(-1)
+	assert.Equal(t, l.Demand()["o"].Concurrent, 1.0)
+	_, err = l.Admit("o", limits, 0)
+	assert.NilError(t, err)
+}
+
+// TestTokens: the limit holds in generated tokens, although callers announce
+// ten times as many.
+func TestTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		generated := 0
+		begin := time.Now()
+		for time.Since(begin) < 10*time.Minute {
+			time.Sleep(100 * time.Millisecond)
+			if g, err := l.Admit("o", deployment.Limits{TokensPerSecond: 500}, 1000); err == nil {
+				time.AfterFunc(5*time.Second, func() { g.Done(100) })
+				generated += 100
+			}
+		}
+		perSecond := float64(generated) / 600
+		assert.Assert(t, perSecond < 1.05*500 && perSecond > 0.9*500, "%.1f tokens/s", perSecond)
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestSilence: while nothing is told the last sum counts on; an organisation
+// that is not told while others are is free again.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(t)
+		l.Observe(map[string]Usage{"o": {Requests: 9}})
+		time.Sleep(time.Hour)
+		a := l.account("o")
+		assert.Equal(t, l.othersOf(a, time.Now()).Requests, 9.0)
+		l.Observe(map[string]Usage{"p": {Requests: 1}})
+		assert.Equal(t, l.othersOf(a, time.Now()).Requests, 0.0)
+		assert.Equal(t, len(l.Demand()), 1)
+	})
+}
+
+// TestSumOrder: reports that come twice, late or in another order give the same
+// sum as one table with each node's latest report.
+func TestSumOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewSum(time.Hour)
+		latest := map[int]int{}
+		for range rapid.IntRange(1, 40).Draw(rt, "reports") {
+			entry := rapid.IntRange(0, 3).Draw(rt, "entry")
+			number := rapid.IntRange(1, 20).Draw(rt, "number")
+			s.Put(Report{
+				Entry: fmt.Sprint(entry), Number: uint64(number),
+				Usage: map[string]Usage{"o": {Requests: float64(number)}},
+			})
+			latest[entry] = max(latest[entry], number)
+		}
+		want := 0
+		for entry, number := range latest {
+			if entry != 0 {
+				want += number
+			}
+		}
+		assert.Equal(rt, s.Others("0")["o"].Requests, float64(want))
+	})
+}
+
+// TestOwner: all nodes name the same owner, and when a node leaves only its own
+// organisations move.
+func TestOwner(t *testing.T) {
+	entries := strings.Fields("a b c d e f g h")
+	for i := range 1000 {
+		org := fmt.Sprint(i)
+		before, after := Owner(org, entries), Owner(org, entries[1:])
+		assert.Assert(t, before == after || before == "a")
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	l, _ := New(Config{Window: DefaultWindow, Hold: DefaultHold}, rand.New(rand.NewPCG(1, 1)))
+	limits := deployment.Limits{RequestsPerSecond: 1e9, TokensPerSecond: 1e12, Concurrent: 1e9}
+	b.ReportAllocs()
+	for b.Loop() {
+		g, err := l.Admit("o", limits, 100)
+		if err != nil {
+			b.Fatal(err)
+		}
+		g.Done(90)
+	}
+}
