--- /dev/null
+++ b/mapswitch/mapswitch.go
@@ -0,0 +1,173 @@
+// Package mapswitch puts a new expert map in force at a step boundary for all
+// ranks of a rank group or for none.
+//
+// The package holds two state machines without goroutines or clocks: a
+// Participant for each rank's agent and a Coordinator for the agent that holds
+// the group's lease. Node drives both beside one engine. A proposal is
+// committed when every member of the group's epoch has voted for it, and is
+// aborted when one member has refused it for good; both facts are stable, so
+// any agent may conclude them from the votes and no further party decides. An
+// agent votes only after its engine holds at the switching step, and gives no
+// order for that step until it knows the outcome.
+package mapswitch
+
+import (
+	"encoding/binary"
+	"iter"
+	"math/bits"
+)
+
+// MaxRanks is the largest number of ranks of a group.
+const MaxRanks = 256
+
+const wordBits = 64
+
+// Rank is the position of an engine in its group, from 0 to MaxRanks-1.
+type Rank int32
+
+// RankSet is a set of ranks. It is comparable, and its zero value is empty.
+type RankSet [MaxRanks / wordBits]uint64
+
+// Ranks returns the set of the given ranks.
+func Ranks(ranks ...Rank) RankSet {
+	var s RankSet
+	for _, r := range ranks {
+		s = s.With(r)
+	}
+	return s
+}
+
+// With returns the set with r added. A rank outside 0 to MaxRanks-1 is ignored.
+func (s RankSet) With(r Rank) RankSet {
+	if r >= 0 && r < MaxRanks {
+		s[r/wordBits] |= 1 << (r % wordBits)
+	}
+	return s
+}
+
+// Without returns the set with r removed.
+func (s RankSet) Without(r Rank) RankSet {
+	if r >= 0 && r < MaxRanks {
+		s[r/wordBits] &^= 1 << (r % wordBits)
+	}
+	return s
+}
+
+// Has reports whether r is in the set.
+func (s RankSet) Has(r Rank) bool {
+	return r >= 0 && r < MaxRanks && s[r/wordBits]&(1<<(r%wordBits)) != 0
+}
+
+// Contains reports whether every rank of other is in the set.
+func (s RankSet) Contains(other RankSet) bool {
+	for i, word := range other {
+		if word&^s[i] != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Len returns the number of ranks.
+func (s RankSet) Len() int {
+	n := 0
+	for _, word := range s {
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
+
+// All yields the ranks in ascending order.
+func (s RankSet) All() iter.Seq[Rank] {
+	return func(yield func(Rank) bool) {
+		for i, word := range s {
+			for ; word != 0; word &= word - 1 {
+				if !yield(Rank(i*wordBits + bits.TrailingZeros64(word))) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Ref names an expert map. Versions of a group's maps only increase; the hash
+// tells two maps apart that claim one version.
+type Ref struct {
+	Version uint64
+	Hash    string
+}
+
+// Map is an expert map, opaque to this package. Data may be empty: the engine
+// then reads the map by its Ref from the object store.
+type Map struct {
+	Ref
+	Data string
+}
+
+// ID identifies a proposal: the fencing token of the coordinator that made it
+// and a sequence number under that token. IDs are never used again.
+type ID struct {
+	Token uint64
+	Seq   uint64
+}
+
+// Less orders IDs by token, then by sequence number.
+func (id ID) Less(other ID) bool {
+	if id.Token != other.Token {
+		return id.Token < other.Token
+	}
+	return id.Seq < other.Seq
+}
+
+// Proposal asks the members of an epoch to use Map from step Step on.
+type Proposal struct {
+	ID
+	Epoch   uint64
+	Members RankSet
+	Map     Ref
+	Step    uint64
+}
+
+// Record is the group's durable record in the table service. A new Epoch is
+// decided by the one conditional write that creates it. Map is the map that
+// the epoch begins with, raised after a switch; Token is the writer's.
+type Record struct {
+	Epoch   uint64
+	Members RankSet
+	// Engines holds the engine incarnation of each member, as packed by
+	// PackEngines: an engine that restarted is not the member that was decided.
+	Engines string
+	Map     Ref
+	Token   uint64
+}
+
+// engineBytes is the size of one packed engine incarnation.
+const engineBytes = 8
+
+// PackEngines packs engine incarnations, given in ascending order of rank.
+func PackEngines(incarnations []uint64) string {
+	packed := make([]byte, 0, len(incarnations)*engineBytes)
+	for _, n := range incarnations {
+		packed = binary.BigEndian.AppendUint64(packed, n)
+	}
+	return string(packed)
+}
+
+// Engine returns the engine incarnation of member r.
+func (rec Record) Engine(r Rank) (incarnation uint64, ok bool) {
+	if !rec.Members.Has(r) {
+		return 0, false
+	}
+	index := 0
+	for member := range rec.Members.All() {
+		if member == r {
+			break
+		}
+		index++
+	}
+	at := index * engineBytes
+	if len(rec.Engines) < at+engineBytes {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64([]byte(rec.Engines[at : at+engineBytes])), true
+}
