--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -45,8 +45,8 @@
 	rank   Rank
 	limits Limits
 	coordinatorState
-	// peers holds what is known of each rank that was asked.
-	peers map[Rank]peer
+	// peers holds what is known of each rank, by rank.
+	peers []peer
 }
 
 type coordinatorState struct {
@@ -78,7 +78,7 @@
 
 // NewCoordinator returns an idle coordinator.
 func NewCoordinator(rank Rank, limits Limits) Coordinator {
-	return Coordinator{rank: rank, limits: limits, peers: make(map[Rank]peer)}
+	return Coordinator{rank: rank, limits: limits}
 }
 
 // Handle takes one event and returns the actions that follow.
@@ -238,7 +238,7 @@
 		return c.stepDown(ReasonStaleToken)
 	}
 	notes := c.noteEngine(from, m)
-	c.peers[from] = peer{report: m}
+	c.learn(from, peer{report: m})
 	if m.Refused != ReasonNone {
 		return notes
 	}
@@ -249,6 +249,23 @@
 	return append(notes, c.advance()...)
 }
 
+func (c *Coordinator) peer(r Rank) peer {
+	if int(r) >= len(c.peers) {
+		return peer{}
+	}
+	return c.peers[r]
+}
+
+func (c *Coordinator) learn(r Rank, known peer) {
+	if r < 0 || r >= MaxRanks {
+		return
+	}
+	for int(r) >= len(c.peers) {
+		c.peers = append(c.peers, peer{})
+	}
+	c.peers[r] = known
+}
+
 // advance takes the next step of Leading once the reports allow it.
 func (c *Coordinator) advance() []Action {
 	if c.wanted.Members.Len() > 0 {
@@ -268,7 +285,7 @@
 
 func (c *Coordinator) all(ranks RankSet, ok func(Report) bool) bool {
 	for r := range ranks.All() {
-		if !ok(c.peers[r].report) {
+		if !ok(c.peer(r).report) {
 			return false
 		}
 	}
--- a/mapswitch/lead.go
+++ b/mapswitch/lead.go
@@ -20,14 +20,14 @@
 
 // holds reports whether r need not be sent the map's content again.
 func (c *Coordinator) holds(r Rank, ref Ref) bool {
-	rep := c.peers[r].report
+	rep := c.peer(r).report
 	return rep.InForce == ref || rep.Ready == ref
 }
 
 // noteEngine notes a member whose engine is not the one of the epoch.
 func (c *Coordinator) noteEngine(from Rank, m Report) []Action {
 	want, ok := c.record.Engine(from)
-	if !ok || want == m.Engine || c.peers[from].report.Engine == m.Engine {
+	if !ok || want == m.Engine || c.peer(from).report.Engine == m.Engine {
 		return nil
 	}
 	return []Action{Note{RankSilent, c.subject(), from, ReasonOtherEngine}}
@@ -46,7 +46,7 @@
 	}
 	var engines []uint64
 	for r := range c.wanted.Members.All() {
-		engines = append(engines, c.peers[r].report.Engine)
+		engines = append(engines, c.peer(r).report.Engine)
 	}
 	next := Record{
 		Epoch:   c.record.Epoch + 1,
@@ -84,7 +84,7 @@
 	}
 	newest := c.step
 	for r := range c.record.Members.All() {
-		newest = max(newest, c.peers[r].report.Step)
+		newest = max(newest, c.peer(r).report.Step)
 	}
 	c.seq++
 	c.proposal = Proposal{
@@ -115,7 +115,7 @@
 }
 
 func (c *Coordinator) proposeTo(r Rank) Action {
-	return Send{r, Propose{Proposal: c.proposal, Incarnation: c.peers[r].report.Incarnation}}
+	return Send{r, Propose{Proposal: c.proposal, Incarnation: c.peer(r).report.Incarnation}}
 }
 
 func (c *Coordinator) voted(from Rank, m Vote) []Action {
@@ -195,12 +195,12 @@
 	}
 	var notes []Action
 	for r := range c.record.Members.All() {
-		known := c.peers[r]
+		known := c.peer(r)
 		known.silent++
 		if known.silent == c.limits.SilentTicks {
 			notes = append(notes, Note{RankSilent, c.subject(), r, ReasonSilent})
 		}
-		c.peers[r] = known
+		c.learn(r, known)
 	}
 	return notes
 }
