--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -107,10 +107,13 @@
 }
 
 func (c *Coordinator) granted(token uint64) []Action {
-	if token <= c.token {
+	if token < c.token || token == c.token && c.phase != Idle {
 		return nil
 	}
-	c.token, c.seq, c.formedEpoch = token, 0, 0
+	if token > c.token {
+		c.seq = 0
+	}
+	c.token, c.formedEpoch = token, 0
 	clear(c.peers)
 	c.enterPhase(Reading)
 	return []Action{
@@ -136,8 +139,9 @@
 func (c *Coordinator) wantMembers(ev WantMembers) []Action {
 	c.wanted = ev
 	switch c.phase {
-	case Voting, Deciding, Forming:
+	case Voting, Deciding, Forming, Leading:
 		c.enterPhase(Leading)
+		return c.lead()
 	}
 	return nil
 }
--- a/mapswitch/event.go
+++ b/mapswitch/event.go
@@ -12,8 +12,12 @@
 // Tick tells that one tick interval has passed and which step the engine is in.
 type Tick struct{ Step uint64 }
 
-// TokenRead tells the newest fencing token that the lease has granted.
-type TokenRead struct{ Token uint64 }
+// TokenRead tells the newest fencing token that the lease has granted, as read
+// by the given agent incarnation.
+type TokenRead struct {
+	Incarnation uint64
+	Token       uint64
+}
 
 // HoldDone is the result of an OrderHold. OK is false when the engine has
 // begun the step.
@@ -22,9 +26,15 @@
 	OK bool
 }
 
+// LoadID identifies an OrderLoad among all that reach an engine.
+type LoadID struct {
+	Incarnation uint64
+	Seq         uint64
+}
+
 // LoadDone is the result of an OrderLoad.
 type LoadDone struct {
-	Ref
+	LoadID
 	OK bool
 }
 
@@ -104,6 +114,7 @@
 // OrderLoad orders the engine to load a map's experts beside those in force.
 // Any other map that was loaded so may be dropped.
 type OrderLoad struct {
+	LoadID
 	Token uint64
 	Map   Map
 }
--- a/mapswitch/participant.go
+++ b/mapswitch/participant.go
@@ -24,6 +24,7 @@
 	inForce    Ref
 	ready      Ref
 	loading    Ref
+	loadSeq    uint64
 	// bound is the proposal that the agent voted for, while undecided.
 	bound Proposal
 	yes   RankSet
@@ -68,8 +69,7 @@
 	case Tick:
 		return p.tick(ev.Step)
 	case TokenRead:
-		p.recovering = false
-		p.token = max(p.token, ev.Token)
+		p.tokenRead(ev)
 	case HoldDone:
 		return p.holdDone(ev)
 	case LoadDone:
@@ -78,6 +78,14 @@
 	return nil
 }
 
+func (p *Participant) tokenRead(ev TokenRead) {
+	if ev.Incarnation != p.incarnation {
+		return
+	}
+	p.recovering = false
+	p.token = max(p.token, ev.Token)
+}
+
 func (p *Participant) receive(from Rank, msg Message) []Action {
 	switch m := msg.(type) {
 	case Inquire:
@@ -150,18 +158,20 @@
 func (p *Participant) load(m Map) []Action {
 	p.ready = Ref{}
 	p.loading = m.Ref
-	return []Action{OrderLoad{p.token, m}}
+	p.loadSeq++
+	return []Action{OrderLoad{LoadID{p.incarnation, p.loadSeq}, p.token, m}}
 }
 
 func (p *Participant) loadDone(ev LoadDone) []Action {
-	if ev.Ref != p.loading {
+	if ev.LoadID != (LoadID{p.incarnation, p.loadSeq}) {
 		return nil
 	}
+	ref := p.loading
 	p.loading = Ref{}
 	if !ev.OK {
 		return nil
 	}
-	p.ready = ev.Ref
+	p.ready = ref
 	if p.forming.Epoch > p.epoch && p.loaded(p.forming.Map) {
 		return p.enter(p.forming)
 	}
--- a/mapswitch/ports.go
+++ b/mapswitch/ports.go
@@ -41,12 +41,19 @@
 	Switched Proposal
 }
 
-// Engine is one model engine. It may ignore the orders' tokens. Only Load may
-// take long; a hold, a use, a release and a form return once they are taken.
-// An error leaves open whether the order was taken: the caller attaches again.
+// Attacher opens the way of orders to one model engine.
+type Attacher interface {
+	// Attach returns a new Engine and the status as it stands after all orders
+	// of earlier ones. Orders that come later through an earlier Engine, also
+	// one of an earlier agent process, fail without effect.
+	Attach(ctx context.Context) (Engine, Status, error)
+}
+
+// Engine is the way of orders to one model engine, which may ignore the
+// orders' tokens. Only Load may take long; a hold, a use, a release and a form
+// return once they are taken. An error leaves open whether the order was taken:
+// the caller attaches again.
 type Engine interface {
-	// Attach ends the orders of earlier agent processes and returns the status.
-	Attach(ctx context.Context) (Status, error)
 	// Step returns the step that the engine is in or will begin next.
 	Step(ctx context.Context) (uint64, error)
 	// Hold returns false if the engine has begun the proposal's step or may
