--- /dev/null
+++ b/mapswitch/cost_test.go
@@ -0,0 +1,103 @@
+package mapswitch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// cost is what one switch took, in virtual time.
+type cost struct {
+	lost     float64
+	inForce  time.Duration
+	messages int64
+	writes   int64
+}
+
+// trial asks for a map and lets disturb act from then on.
+func trial(t *testing.T, ranks int, disturb func(context.Context, *fakeGroup)) (out cost) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		g := newFakeGroup(ctx, ranks)
+		wait(ctx, time.Second)
+		messages, writes := g.messages.Load(), g.writes.Load()
+		assert.NilError(t, g.nodes[0].WantMap(newMap))
+		disturb(ctx, g)
+		const observed = 12 * time.Second
+		wait(ctx, observed)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		assert.Equal(t, check(g.records, g.orders), violation{})
+		out = cost{
+			lost:     float64(g.idle) / float64(fakeStepTime),
+			messages: g.messages.Load() - messages,
+			writes:   g.writes.Load() - writes,
+		}
+		for i, s := range g.records {
+			if s.Map == newMap.Ref {
+				out.inForce = time.Duration(i/ranks)*fakeStepTime + g.idle - time.Second
+				return
+			}
+		}
+		t.Fatal("the map did not come in force")
+	})
+	return out
+}
+
+func TestSwitchCost(t *testing.T) {
+	for _, ranks := range []int{8, 32} {
+		quiet := trial(t, ranks, func(context.Context, *fakeGroup) {})
+		report(t, ranks, "no fault", quiet)
+		assert.Equal(t, quiet.lost, 0.0)
+		stalled := trial(t, ranks, func(ctx context.Context, g *fakeGroup) {
+			wait(ctx, fakeLoadTime)
+			g.mu.Lock()
+			g.stall = time.Second
+			g.mu.Unlock()
+		})
+		report(t, ranks, "engine stalled 1 s", stalled)
+		assert.Assert(t, stalled.lost <= 1)
+		down := trial(t, ranks, func(_ context.Context, g *fakeGroup) { g.down.Store(true) })
+		report(t, ranks, "table service down", down)
+		assert.Equal(t, down.lost, 0.0)
+	}
+}
+
+// TestStalledAgent pauses one agent at each instant around the vote.
+func TestStalledAgent(t *testing.T) {
+	const ranks = 8
+	for _, tc := range []struct {
+		pause time.Duration
+		most  float64
+	}{
+		{100 * time.Millisecond, 1},
+		{time.Second, 1},
+		{3 * time.Second, 1 + float64(3*time.Second-fakeLead*fakeStepTime)/float64(fakeStepTime)},
+	} {
+		for _, rank := range []int{0, 1} {
+			var worst cost
+			for at := 60 * time.Millisecond; at < 100*time.Millisecond; at += 500 * time.Microsecond {
+				got := trial(t, ranks, func(ctx context.Context, g *fakeGroup) {
+					wait(ctx, fakeLoadTime+at)
+					g.engines[rank].pause(tc.pause)
+				})
+				if got.lost >= worst.lost {
+					worst = got
+				}
+			}
+			report(t, ranks, fmt.Sprintf("agent of rank %d paused %v, worst of 80 instants", rank, tc.pause), worst)
+			assert.Assert(t, worst.lost <= tc.most)
+		}
+	}
+}
+
+func report(t *testing.T, ranks int, name string, c cost) {
+	t.Helper()
+	t.Logf("%d ranks, %s: %.2f steps lost, in force after %v, %d messages, %d writes",
+		ranks, name, c.lost, c.inForce.Round(time.Millisecond), c.messages, c.writes)
+}
--- a/mapswitch/event.go
+++ b/mapswitch/event.go
@@ -119,6 +119,12 @@
 	Map   Map
 }
 
+// OrderLeave orders the engine to run no further step of its epoch.
+type OrderLeave struct {
+	Token uint64
+	Epoch uint64
+}
+
 // OrderForm orders the engine to begin the epoch at step 0.
 type OrderForm struct {
 	Token  uint64
@@ -147,6 +153,7 @@
 func (OrderUse) action()     {}
 func (OrderRelease) action() {}
 func (OrderLoad) action()    {}
+func (OrderLeave) action()   {}
 func (OrderForm) action()    {}
 func (ReadRecord) action()   {}
 func (WriteRecord) action()  {}
--- a/mapswitch/explore_test.go
+++ b/mapswitch/explore_test.go
@@ -110,37 +110,34 @@
 			return true
 		}
 		path = append(path, key)
-		m, ok := w.fair(len(path))
-		if !ok {
-			return false
-		}
-		w = w.apply(m)
+		w = w.fair()
 	}
 	return false
 }
 
-// fair picks messages first, then what nodes owe, then steps, then ticks in
-// turn.
-func (w *world) fair(turn int) (move, bool) {
-	var ticks []move
+// fair makes the next move: messages and what nodes owe go first, then steps,
+// then one tick of every node.
+func (w *world) fair() *world {
 	var step move
 	for _, m := range w.moves(false) {
 		switch m.kind {
 		case "tick":
-			ticks = append(ticks, m)
 		case "step":
 			step = m
 		default:
-			return m, true
+			return w.apply(m)
 		}
 	}
 	if step.kind != "" {
-		return step, true
+		return w.apply(step)
 	}
-	if len(ticks) == 0 {
-		return move{}, false
+	next := w
+	for i := range w.nodes {
+		if w.nodes[i].up {
+			next = next.apply(move{kind: "tick", node: i})
+		}
 	}
-	return ticks[turn%len(ticks)], true
+	return next
 }
 
 // lost reports whether a member's engine is dead.
--- a/mapswitch/lead.go
+++ b/mapswitch/lead.go
@@ -39,7 +39,8 @@
 }
 
 // advanceEpoch decides the new epoch once every new member has loaded its map.
-// A member that is bound by a proposal loads after it has left the old epoch.
+// A member that is bound by a proposal or has a switch before it loads after it
+// has left the old epoch.
 func (c *Coordinator) advanceEpoch() []Action {
 	if !c.fresh.Contains(c.wanted.Members) || !c.all(c.wanted.Members, c.readyForEpoch) {
 		return nil
--- a/mapswitch/message.go
+++ b/mapswitch/message.go
@@ -32,7 +32,8 @@
 	// experts the engine has confirmed as loaded.
 	InForce Ref
 	Ready   Ref
-	// Bound is true while the agent has voted and knows no outcome.
+	// Bound is true while the agent has voted and knows no outcome, and while
+	// its engine has not reached the step of a switch. It loads nothing then.
 	Bound   bool
 	Refused Reason
 }
--- a/mapswitch/model_test.go
+++ b/mapswitch/model_test.go
@@ -15,7 +15,7 @@
 // modelEngine takes every order whatever its token, except a hold or a switch
 // at a step that has begun.
 type modelEngine struct {
-	dead        bool
+	dead, left  bool
 	st          Status
 	base        Ref
 	leftEpoch   uint64
@@ -156,7 +156,7 @@
 	add("step", w.canStep(i))
 	lost := w.nodes[modelRanks-1].engine.dead && w.record.Members.Has(modelRanks-1)
 	add("reform", n.up && lost && n.coord.phase != Idle && n.coord.wanted.Members.Len() == 0)
-	add("tick", n.up && (n.part.isBound() || n.coord.phase != Idle) && (!faults || w.budget.ticks > 0))
+	add("tick", n.up && !faults || w.budget.ticks > 0 && (n.part.isBound() || n.coord.phase != Idle))
 	if faults {
 		add("store lost", n.up && n.op != nil && w.budget.storeFault > 0)
 		add("crash", n.up && w.budget.crash > 0)
@@ -168,7 +168,7 @@
 
 func (w *world) canStep(i int) bool {
 	e := &w.nodes[i].engine
-	if e.dead || e.st.Epoch == 0 || e.st.Step >= w.steps {
+	if e.dead || e.left || e.st.Epoch == 0 || e.st.Step >= w.steps {
 		return false
 	}
 	if e.st.Held.Step > 0 && e.st.Step >= e.st.Held.Step {
@@ -237,10 +237,14 @@
 	return next
 }
 
-// takeLead grants the lease. The epoch counts as formed and the members'
-// reports as read, so that the new coordinator proposes at once.
+// takeLead grants the lease. In the first epoch, which all have formed, the
+// members' reports count as read, so that the new coordinator proposes at once.
 func (w *world) takeLead(i int) {
 	n := &w.nodes[i]
+	if w.record.Epoch > 1 {
+		w.feed(i, Granted{w.granted})
+		return
+	}
 	n.coord.Handle(Granted{w.granted})
 	n.coord.formedEpoch = w.record.Epoch
 	n.part.Handle(TokenRead{n.part.incarnation, w.granted})
@@ -341,7 +345,7 @@
 			}
 		case OrderLoad:
 			n.loading = a
-			n.engine.loaded[1], n.engine.st.Ready = Ref{}, Ref{}
+			n.engine.makeRoom()
 			w.order(n, orderRecord{Rank(i), a.Token, n.engine.st.Epoch})
 		case OrderHold:
 			w.order(n, orderRecord{Rank(i), a.Proposal.Token, n.engine.st.Epoch})
@@ -356,6 +360,9 @@
 		case OrderUse:
 			n.engine.use(a.Proposal)
 			w.order(n, orderRecord{Rank(i), a.Token, n.engine.st.Epoch})
+		case OrderLeave:
+			n.engine.left = true
+			w.order(n, orderRecord{Rank(i), a.Token, n.engine.st.Epoch})
 		case OrderForm:
 			n.engine.form(a.Record)
 			w.order(n, orderRecord{Rank(i), a.Token, a.Record.Epoch})
@@ -388,7 +395,17 @@
 	e.st.InForce, e.st.Ready = p.Map, Ref{}
 }
 
+// makeRoom keeps the map that the next step runs on, and no other one, unless a
+// switch is still to come: then it drops the new map, as a careless engine may.
+func (e *modelEngine) makeRoom() {
+	if sw := e.st.Switched; sw.Step > 0 && e.st.Step >= sw.Step {
+		e.loaded[0] = sw.Map
+	}
+	e.loaded[1], e.st.Ready = Ref{}, Ref{}
+}
+
 func (e *modelEngine) form(rec Record) {
+	e.left = false
 	e.leftEpoch, e.leftStep = e.st.Epoch, e.st.Step
 	e.st.Epoch, e.st.Members, e.st.Step = rec.Epoch, rec.Members, 0
 	e.st.Held, e.st.Switched = Proposal{}, Proposal{}
--- a/mapswitch/naive_test.go
+++ b/mapswitch/naive_test.go
@@ -117,11 +117,10 @@
 			w := start
 			w.steps = maxSteps
 			for range continuationLimit {
-				m, ok := w.fair(0)
-				if !ok || allRan(w) {
+				if allRan(w) {
 					break
 				}
-				w = w.apply(m)
+				w = w.fair()
 			}
 			assert.Equal(t, w.found, violation{})
 			assert.Assert(t, allRan(w))
--- a/mapswitch/node.go
+++ b/mapswitch/node.go
@@ -250,6 +250,8 @@
 		err = n.engine.Use(orderCtx, a)
 	case OrderRelease:
 		err = n.engine.Release(orderCtx, a)
+	case OrderLeave:
+		err = n.engine.Leave(orderCtx, a)
 	case OrderForm:
 		err = n.engine.Form(orderCtx, a)
 	}
--- a/mapswitch/participant.go
+++ b/mapswitch/participant.go
@@ -125,13 +125,17 @@
 		Step:        p.step,
 		InForce:     p.inForce,
 		Ready:       p.ready,
-		Bound:       p.isBound(),
+		Bound:       p.isBound() || p.pendingSwitch(),
 		Refused:     reason,
 	}
 }
 
 func (p *Participant) isBound() bool { return p.bound != Proposal{} }
 
+// pendingSwitch reports whether the engine still needs the experts of both the
+// old map and the one that it was ordered to use.
+func (p *Participant) pendingSwitch() bool { return p.step < p.switched.Step }
+
 func (p *Participant) loaded(ref Ref) bool { return ref == p.inForce || ref == p.ready }
 
 func (p *Participant) inquire(from Rank, m Inquire) []Action {
@@ -152,7 +156,7 @@
 	if ref.Version == 0 || p.loaded(ref) || ref == p.loading {
 		return false
 	}
-	return !p.isBound() && p.forming.Epoch == 0 && p.step >= p.switched.Step
+	return !p.isBound() && !p.pendingSwitch() && p.forming.Epoch == 0
 }
 
 func (p *Participant) load(m Map) []Action {
@@ -333,7 +337,8 @@
 	if p.loading == m.Record.Map {
 		return nil
 	}
-	return p.load(Map{Ref: m.Record.Map, Data: m.Data})
+	leave := OrderLeave{p.token, p.epoch}
+	return append([]Action{leave}, p.load(Map{Ref: m.Record.Map, Data: m.Data})...)
 }
 
 func (p *Participant) formRefusal(m Form) Reason {
--- a/mapswitch/ports.go
+++ b/mapswitch/ports.go
@@ -65,6 +65,9 @@
 	Release(ctx context.Context, order OrderRelease) error
 	// Load returns once the experts are loaded.
 	Load(ctx context.Context, order OrderLoad) error
+	// Leave ends the engine's part in its epoch: it begins no further step until
+	// Form.
+	Leave(ctx context.Context, order OrderLeave) error
 	// Form joins the epoch's collective at step 0 and drops any hold.
 	Form(ctx context.Context, order OrderForm) error
 }
