--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -123,6 +123,14 @@
 	return m.slots[first : first+m.shape.Slots : first+m.shape.Slots]
 }
 
+// Layer returns the slots of all ranks in one layer, ordered by rank, then slot.
+// The caller must not change them.
+func (m Map) Layer(layer int) []Expert {
+	n := m.shape.Ranks * m.shape.Slots
+	first := m.shape.index(layer, 0, 0)
+	return m.slots[first : first+n : first+n]
+}
+
 // Holds reports whether the rank holds the expert in the layer.
 func (m Map) Holds(layer, rank int, e Expert) bool {
 	return slices.Contains(m.Rank(layer, rank), e)
@@ -131,8 +139,7 @@
 // Replicas returns for each expert of the layer how many ranks hold it.
 func (m Map) Replicas(layer int) []int {
 	n := make([]int, m.shape.Experts)
-	first := m.shape.index(layer, 0, 0)
-	for _, e := range m.slots[first : first+m.shape.Ranks*m.shape.Slots] {
+	for _, e := range m.Layer(layer) {
 		if e != Empty {
 			n[e]++
 		}
--- /dev/null
+++ b/internal/measure/placement/main.go
@@ -0,0 +1,56 @@
+// Command placement measures the placement policy on simulated days of drifting
+// demand. It prints Markdown tables of skew, bytes and changes, and draws the
+// trade-off between skew and bytes moved.
+package main
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+)
+
+// options are the command line.
+type options struct {
+	Small   bool   `long:"small" description:"run the days of 16 ranks and 64 experts"`
+	Large   bool   `long:"large" description:"run the days of 32 ranks, 128 experts and 60 layers"`
+	Outage  bool   `long:"outage" description:"run the day with an outage of the weight store"`
+	Plot    string `long:"plot" description:"draw the trade-off curve into this SVG file"`
+	Workers int    `long:"workers" default:"3" description:"simulated days to run at once"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := measure(o); err != nil {
+		klog.ErrorS(err, "measure: a run failed")
+		os.Exit(1)
+	}
+}
+
+// measure runs what the options ask for.
+func measure(o options) error {
+	debug.SetGCPercent(400)
+	if o.Small {
+		if err := days(os.Stdout, smallGroup, o.Workers); err != nil {
+			return err
+		}
+	}
+	if o.Large {
+		if err := days(os.Stdout, largeGroup, o.Workers); err != nil {
+			return err
+		}
+	}
+	if o.Outage {
+		if err := outage(os.Stdout, o.Workers); err != nil {
+			return err
+		}
+	}
+	if o.Plot != "" {
+		return tradeOff(os.Stdout, o.Plot, o.Workers)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/placement/table.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/drift"
+)
+
+// days runs every way on every shape of demand and prints a table.
+func days(w io.Writer, g groupSize, workers int) error {
+	var jobs []*job
+	for _, shape := range drift.Shapes {
+		for _, way := range ways {
+			jobs = append(jobs, &job{group: g, shape: shape, way: way})
+		}
+	}
+	if err := run(jobs, workers); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "## %s\n\n", g.name)
+	return printJobs(w, jobs)
+}
+
+// outage runs the sudden switches with the store down from before the second
+// one until an hour after it.
+func outage(w io.Writer, workers int) error {
+	span := [2]time.Duration{10*time.Hour - time.Minute, 11 * time.Hour}
+	var jobs []*job
+	for _, way := range ways[len(ways)-2:] {
+		jobs = append(jobs, &job{group: smallGroup, shape: drift.Sudden, way: way, outage: span})
+	}
+	if err := run(jobs, workers); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "## Weight store down from 09:59 to 11:00, %s\n\n", smallGroup.name)
+	return printJobs(w, jobs)
+}
+
+const header = `| demand | way | skew p50 | p95 | p99 | over bound p50 | p95 | p99 | GB a day | after 1st hour | changes | after 1st hour | recovery | stopped | in force p95 | decision p50 | p99 |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
+`
+
+func printJobs(w io.Writer, jobs []*job) error {
+	var b strings.Builder
+	b.WriteString(header)
+	for _, j := range jobs {
+		b.WriteString(row(j))
+	}
+	b.WriteString("\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// row formats one run.
+func row(j *job) string {
+	r := j.result
+	return fmt.Sprintf("| %s | %s | %s | %s | %.1f | %.1f | %d | %d | %s | %s | %s | %s | %s |\n",
+		j.shape, j.way.name, quantiles(r.Skew), quantiles(r.Ratio),
+		float64(r.Bytes)/1e9, float64(r.Bytes-r.FirstBytes)/1e9, r.Changes, r.LateChanges,
+		recovery(r.Recovery, r.Unrecovered), r.Stopped, quantile(r.InForce, 0.95).Round(100*time.Millisecond),
+		quantile(r.CPU, 0.5).Round(10*time.Microsecond), quantile(r.CPU, 0.99).Round(10*time.Microsecond))
+}
+
+// quantiles formats the median and two upper quantiles of values.
+func quantiles(values []float64) string {
+	sorted := slices.Sorted(slices.Values(values))
+	q := func(p float64) float64 { return stat.Quantile(p, stat.Empirical, sorted, nil) }
+	return fmt.Sprintf("%.3f | %.3f | %.3f", q(0.5), q(0.95), q(0.99))
+}
+
+// quantile returns a quantile of times, or 0 if there are none.
+func quantile(times []time.Duration, p float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(times))
+	return sorted[int(p*float64(len(sorted)-1))]
+}
+
+// recovery lists the times to recover from the begin of the day and from each
+// switch.
+func recovery(times []time.Duration, unrecovered int) string {
+	parts := make([]string, 0, len(times)+1)
+	for _, t := range times {
+		parts = append(parts, fmt.Sprintf("%.0f", t.Seconds()))
+	}
+	out := strings.Join(parts, ", ") + " s"
+	if len(times) == 0 {
+		out = ""
+	}
+	if unrecovered > 0 {
+		out = strings.TrimSpace(fmt.Sprintf("%s (%d never)", out, unrecovered))
+	}
+	return out
+}
--- /dev/null
+++ b/placement/layer.go
@@ -0,0 +1,244 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+)
+
+// group is what all layers of a search have in common.
+type group struct {
+	shape expertmap.Shape
+	// domain numbers each rank's failure domain.
+	domain []int
+	alive  []bool
+	// mean is the mean rank load: one over the number of live ranks.
+	mean float64
+	// limit is the number of slots that the map uses on one rank without need.
+	// One slot less than there are keeps room to load the next expert.
+	limit int
+	// canLoad is false while the weight store is down.
+	canLoad bool
+}
+
+// layerState is the placement of one layer under search. Its arrays are used
+// again for the next layer.
+type layerState struct {
+	*group
+	share, variance []float64
+	// base is the map in force and loaded is what the ranks have, both by rank
+	// and slot. use is the placement under search.
+	base, loaded, use []expertmap.Expert
+	// holders lists the ranks that hold each expert in use.
+	holders [][]int
+	// load and used are by rank.
+	load []float64
+	used []int
+	// loads is the number of slots in which use differs from loaded.
+	loads int
+	// overwrite lets loads take slots that base uses. It is set while the group
+	// cannot step anyway.
+	overwrite bool
+}
+
+func newLayerState(g *group) *layerState {
+	n := g.shape.Ranks * g.shape.Slots
+	return &layerState{
+		group:   g,
+		use:     make([]expertmap.Expert, n),
+		holders: make([][]int, g.shape.Experts),
+		load:    make([]float64, g.shape.Ranks),
+		used:    make([]int, g.shape.Ranks),
+	}
+}
+
+// reset starts the search of a layer from the map in force.
+func (l *layerState) reset(base, loaded []expertmap.Expert, share, variance []float64) {
+	l.base, l.loaded, l.share, l.variance = base, loaded, share, variance
+	l.setUse(base)
+	l.overwrite = false
+}
+
+// setUse makes use a copy of the given placement and works the rest out anew.
+func (l *layerState) setUse(use []expertmap.Expert) {
+	copy(l.use, use)
+	for e := range l.holders {
+		l.holders[e] = l.holders[e][:0]
+	}
+	clear(l.load)
+	clear(l.used)
+	l.loads = 0
+	for i, e := range l.use {
+		if e == expertmap.Empty {
+			continue
+		}
+		l.holders[e] = append(l.holders[e], i/l.shape.Slots)
+		l.used[i/l.shape.Slots]++
+		if l.loaded[i] != e {
+			l.loads++
+		}
+	}
+	for e, holders := range l.holders {
+		for _, rank := range holders {
+			l.load[rank] += l.share[e] / float64(len(holders))
+		}
+	}
+}
+
+// rank returns the slots in use on a rank.
+func (l *layerState) rank(rank int) []expertmap.Expert {
+	return l.use[rank*l.shape.Slots : (rank+1)*l.shape.Slots]
+}
+
+// each is the load of one replica of e.
+func (l *layerState) each(e expertmap.Expert) float64 {
+	return l.share[e] / float64(len(l.holders[e]))
+}
+
+// holds reports whether the rank holds e.
+func (l *layerState) holds(rank int, e expertmap.Expert) bool {
+	return slices.Contains(l.holders[e], rank)
+}
+
+// find returns the best slot of a rank for e and the loads that it costs, or
+// false if there is none. A slot that has e loaded costs nothing. Among the
+// others it takes the one whose unused weights have the least load, for these
+// are the least likely to be wanted back.
+func (l *layerState) find(rank int, e expertmap.Expert) (slot, cost int, ok bool) {
+	slot = -1
+	coldest := 0.0
+	for s := range l.shape.Slots {
+		i := rank*l.shape.Slots + s
+		if l.use[i] != expertmap.Empty {
+			continue
+		}
+		if l.loaded[i] == e {
+			return s, 0, true
+		}
+		if !l.canLoad || l.base[i] != expertmap.Empty && !l.overwrite {
+			continue
+		}
+		if x := l.unused(i); slot < 0 || x < coldest {
+			slot, coldest = s, x
+		}
+	}
+	return slot, 1, slot >= 0
+}
+
+// unused is the share of the weights that are loaded in a slot without use.
+func (l *layerState) unused(i int) float64 {
+	if e := l.loaded[i]; e != expertmap.Empty {
+		return l.share[e]
+	}
+	return -1
+}
+
+// add puts e into a free slot of a rank.
+func (l *layerState) add(rank, slot int, e expertmap.Expert) {
+	l.spread(e, -1)
+	l.holders[e] = append(l.holders[e], rank)
+	l.spread(e, 1)
+	i := rank*l.shape.Slots + slot
+	l.use[i] = e
+	l.used[rank]++
+	if l.loaded[i] != e {
+		l.loads++
+	}
+}
+
+// drop takes e from a rank that holds it.
+func (l *layerState) drop(rank int, e expertmap.Expert) {
+	l.spread(e, -1)
+	at := slices.Index(l.holders[e], rank)
+	l.holders[e] = slices.Delete(l.holders[e], at, at+1)
+	l.spread(e, 1)
+	i := rank*l.shape.Slots + slices.Index(l.rank(rank), e)
+	l.use[i] = expertmap.Empty
+	l.used[rank]--
+	if l.loaded[i] != e {
+		l.loads--
+	}
+}
+
+// spread adds the load of e, times sign, to the ranks that hold it.
+func (l *layerState) spread(e expertmap.Expert, sign float64) {
+	if len(l.holders[e]) == 0 {
+		return
+	}
+	each := sign * l.each(e)
+	for _, rank := range l.holders[e] {
+		l.load[rank] += each
+	}
+}
+
+// hottest returns the rank with the largest load and the two largest loads.
+func (l *layerState) hottest() (rank int, first, second float64) {
+	rank = -1
+	for r, load := range l.load {
+		switch {
+		case rank < 0 || load > first:
+			rank, first, second = r, load, first
+		case load > second:
+			second = load
+		}
+	}
+	return rank, first, second
+}
+
+// loadVariance is the variance of the estimate of a rank's load.
+func (l *layerState) loadVariance(rank int) float64 {
+	total := 0.0
+	for _, e := range l.rank(rank) {
+		if e != expertmap.Empty {
+			k := float64(len(l.holders[e]))
+			total += l.variance[e] / (k * k)
+		}
+	}
+	return total
+}
+
+// crowds reports whether a replica of e on the rank would share its failure
+// domain with another one. skip is a rank that gives its replica up, or -1.
+func (l *layerState) crowds(rank int, e expertmap.Expert, skip int) bool {
+	for _, r := range l.holders[e] {
+		if r != skip && l.domain[r] == l.domain[rank] {
+			return true
+		}
+	}
+	return false
+}
+
+// release drops replicas from ranks without a free slot where no rank's load
+// then exceeds peak, and reports whether it dropped any.
+func (l *layerState) release(peak float64) bool {
+	released := false
+	for r, used := range l.used {
+		if used <= l.limit {
+			continue
+		}
+		for _, e := range l.rank(r) {
+			if e != expertmap.Empty && l.spare(r, e, peak) {
+				l.drop(r, e)
+				released = true
+				break
+			}
+		}
+	}
+	return released
+}
+
+// spare reports whether the other holders of e can take over the load of the
+// rank's replica without exceeding peak.
+func (l *layerState) spare(rank int, e expertmap.Expert, peak float64) bool {
+	k := len(l.holders[e])
+	if k < 2 {
+		return false
+	}
+	grown := l.share[e]/float64(k-1) - l.each(e)
+	for _, o := range l.holders[e] {
+		if o != rank && l.load[o]+grown > peak {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/placement/step.go
@@ -0,0 +1,202 @@
+package placement
+
+import "github.com/cyclamenpoint/cyclamenpoint/expertmap"
+
+// step is one change of a layer's placement that takes load off the hottest
+// rank. Fields that do not apply are Empty or -1.
+type step struct {
+	// add is put on rank to.
+	add expertmap.Expert
+	to  int
+	// from gives add up, if it is not -1.
+	from int
+	// evict leaves rank to; if back is not -1 it is put on that rank.
+	evict expertmap.Expert
+	back  int
+	// peak is the largest load afterwards among the ranks whose load grows and
+	// the hottest one.
+	peak float64
+	// cost is the number of loads.
+	cost int
+	// score orders steps; less is better.
+	score float64
+}
+
+// Preferences among steps, in units of the mean rank load.
+const (
+	// crowdPenalty is what a replica in a failure domain of its own may cost.
+	crowdPenalty = 0.01
+	// loadPenalty is the least gain that one more load must bring.
+	loadPenalty = 0.001
+	// lastSlotGain is the least gain for which a rank's last free slot is used.
+	// Without a free slot the rank can load nothing.
+	lastSlotGain = 0.05
+)
+
+// chooser finds the best step from one placement.
+type chooser struct {
+	l *layerState
+	// hot is the hottest rank, with its load; second is the next load.
+	hot           int
+	first, second float64
+	// price is the objective's price of one load, in units of the mean load.
+	price float64
+	best  step
+	found bool
+}
+
+// chooseStep returns the best step that lowers the hottest rank's load without
+// raising another one as far, or false.
+func chooseStep(l *layerState, price float64) (step, bool) {
+	c := chooser{l: l, price: max(price, loadPenalty)}
+	c.hot, c.first, c.second = l.hottest()
+	for _, e := range l.rank(c.hot) {
+		if e == expertmap.Empty {
+			continue
+		}
+		c.tryDrop(e)
+		for r := range l.shape.Ranks {
+			if r == c.hot || !l.alive[r] || l.holds(r, e) {
+				continue
+			}
+			c.tryRank(e, r)
+		}
+	}
+	return c.best, c.found
+}
+
+// tryDrop gives up the replica of e on the hottest rank.
+func (c *chooser) tryDrop(e expertmap.Expert) {
+	k := len(c.l.holders[e])
+	if k < 2 {
+		return
+	}
+	grown := c.l.share[e]/float64(k-1) - c.l.each(e)
+	peak := c.first - c.l.each(e)
+	for _, r := range c.l.holders[e] {
+		if r != c.hot {
+			peak = max(peak, c.l.load[r]+grown)
+		}
+	}
+	c.offer(step{add: expertmap.Empty, to: -1, from: c.hot, evict: e, back: -1, peak: peak}, false)
+}
+
+// tryRank tries the steps that put e, which the hottest rank holds, on rank r.
+func (c *chooser) tryRank(e expertmap.Expert, r int) {
+	l := c.l
+	_, cost, ok := l.find(r, e)
+	if !ok {
+		return
+	}
+	each := l.each(e)
+	k := float64(len(l.holders[e]))
+	shared := l.share[e] / (k + 1)
+	none := expertmap.Empty
+	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each+shared, l.load[r]+shared)) {
+		c.offer(step{add: e, to: r, from: -1, evict: none, back: -1, cost: cost,
+			peak: max(c.first-each+shared, l.load[r]+shared)}, l.crowds(r, e, -1))
+	}
+	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each, l.load[r]+each)) {
+		c.offer(step{add: e, to: r, from: c.hot, evict: none, back: -1, cost: cost,
+			peak: max(c.first-each, l.load[r]+each)}, l.crowds(r, e, c.hot))
+	}
+	for _, b := range l.rank(r) {
+		if b == expertmap.Empty {
+			continue
+		}
+		c.trySwap(e, r, b, cost)
+		c.tryEvict(e, r, b, cost)
+	}
+}
+
+// worthLastSlot reports whether a step that leaves the given peak is worth the
+// last free slot of a rank.
+func (c *chooser) worthLastSlot(peak float64) bool {
+	return c.first-max(peak, c.second) >= lastSlotGain*c.l.mean
+}
+
+// trySwap exchanges e on the hottest rank for b on rank r.
+func (c *chooser) trySwap(e expertmap.Expert, r int, b expertmap.Expert, cost int) {
+	l := c.l
+	d := l.each(e) - l.each(b)
+	if d <= 0 || l.holds(c.hot, b) {
+		return
+	}
+	_, back, ok := l.find(c.hot, b)
+	if !ok {
+		return
+	}
+	c.offer(step{add: e, to: r, from: c.hot, evict: b, back: c.hot, cost: cost + back,
+		peak: max(c.first-d, l.load[r]+d)}, l.crowds(r, e, c.hot) || l.crowds(c.hot, b, r))
+}
+
+// tryEvict puts e on rank r in place of a replica of b, once as a further
+// replica and once instead of the one on the hottest rank.
+func (c *chooser) tryEvict(e expertmap.Expert, r int, b expertmap.Expert, cost int) {
+	l := c.l
+	kb := len(l.holders[b])
+	if kb < 2 {
+		return
+	}
+	each, eachB := l.each(e), l.each(b)
+	shared := l.share[e] / float64(len(l.holders[e])+1)
+	grown := l.share[b]/float64(kb-1) - eachB
+	others := 0.0
+	hot := 0.0
+	for _, o := range l.holders[b] {
+		switch o {
+		case r:
+		case c.hot:
+			hot = grown
+		default:
+			others = max(others, l.load[o]+grown)
+		}
+	}
+	c.offer(step{add: e, to: r, from: -1, evict: b, back: -1, cost: cost,
+		peak: max(others, c.first-each+shared+hot, l.load[r]+shared-eachB)}, l.crowds(r, e, -1))
+	c.offer(step{add: e, to: r, from: c.hot, evict: b, back: -1, cost: cost,
+		peak: max(others, c.first-each+hot, l.load[r]+each-eachB)}, l.crowds(r, e, c.hot))
+}
+
+// offer keeps the step if it lowers the hottest rank and is the best so far. A
+// peak below the second largest load counts as that load, since the layer gains
+// no more than that; the peak itself decides between equals.
+func (c *chooser) offer(s step, crowds bool) {
+	if s.peak >= c.first*(1-1e-9) {
+		return
+	}
+	mean := c.l.mean
+	s.score = max(s.peak, c.second)/mean + s.peak/mean*loadPenalty
+	if s.cost > 0 {
+		s.score += c.price * float64(s.cost)
+	}
+	if crowds {
+		s.score += crowdPenalty
+	}
+	if !c.found || s.score < c.best.score {
+		c.best, c.found = s, true
+	}
+}
+
+// apply carries the step out.
+func (l *layerState) apply(s step) {
+	if s.add == expertmap.Empty {
+		l.drop(s.from, s.evict)
+		return
+	}
+	slot, _, _ := l.find(s.to, s.add)
+	backSlot := -1
+	if s.back >= 0 {
+		backSlot, _, _ = l.find(s.back, s.evict)
+	}
+	l.add(s.to, slot, s.add)
+	if s.from >= 0 {
+		l.drop(s.from, s.add)
+	}
+	if s.evict != expertmap.Empty {
+		l.drop(s.to, s.evict)
+	}
+	if s.back >= 0 {
+		l.add(s.back, backSlot, s.evict)
+	}
+}
