--- /dev/null
+++ b/internal/measure/placement/day/day_test.go
@@ -0,0 +1,123 @@
+package day
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/drift"
+	"github.com/cyclamenpoint/cyclamenpoint/placement"
+)
+
+const expertBytes = 22_000_000
+
+// config is a small group; demand and length are the test's.
+func config(shape drift.Shape, length time.Duration) Config {
+	return Config{
+		Demand:      drift.Config{Shape: shape, Layers: 2, Experts: 64, Ranks: 16, Seed: 5},
+		Slots:       6,
+		ExpertBytes: expertBytes,
+		StoreRate:   20e6,
+		Length:      length,
+		Target:      1.25,
+	}
+}
+
+func local(skew, move float64) Local {
+	return Local{Policy: placement.NewPolicy(deployment.Group{
+		ExpertBytes: expertBytes,
+		Objective:   deployment.Objective{Skew: skew, Move: move},
+	})}
+}
+
+// verdict is what the targets of one run are judged by.
+type verdict struct {
+	p95   float64
+	bytes int64
+	late  int
+}
+
+func judge(t *testing.T, c Config, d Decider) verdict {
+	t.Helper()
+	r, err := Run(c, d)
+	assert.NilError(t, err)
+	sorted := slices.Sorted(slices.Values(r.Ratio))
+	return verdict{p95: sorted[len(sorted)*95/100], bytes: r.Bytes, late: r.LateChanges}
+}
+
+// TestTargets runs some hours of each shape that changes and holds both
+// deployments to their targets. The static map shows that the skew target can
+// be missed, and the full re-solve that the bytes can.
+func TestTargets(t *testing.T) {
+	for _, c := range []struct {
+		shape  drift.Shape
+		length time.Duration
+	}{
+		{drift.Slow, 3 * time.Hour},
+		{drift.Sudden, 7 * time.Hour},
+		{drift.Viral, 11 * time.Hour},
+		{drift.Correlated, 3 * time.Hour},
+	} {
+		t.Run(string(c.shape), func(t *testing.T) {
+			t.Parallel()
+			day := config(c.shape, c.length)
+			full := judge(t, day, &Resolve{Interval: 10 * time.Minute, StoreShare: 0.5})
+			bySkew := judge(t, day, local(1, 0.1))
+			byMove := judge(t, day, local(1, 4))
+			static := judge(t, day, Static{})
+			assert.Assert(t, bySkew.p95 <= 1.05, "skew-weighted: p95 %.3f", bySkew.p95)
+			assert.Assert(t, 2*bySkew.bytes <= full.bytes, "skew-weighted: %d of %d bytes", bySkew.bytes, full.bytes)
+			assert.Assert(t, byMove.p95 < 1.25, "move-weighted: p95 %.3f", byMove.p95)
+			assert.Assert(t, 5*byMove.bytes <= full.bytes, "move-weighted: %d of %d bytes", byMove.bytes, full.bytes)
+			assert.Assert(t, static.p95 > 1.05 && 2*full.bytes > full.bytes)
+		})
+	}
+}
+
+// TestNoiseMovesNothing runs a whole day of noise. A policy that trusts its
+// estimates blindly shows that the check can fail.
+func TestNoiseMovesNothing(t *testing.T) {
+	t.Parallel()
+	c := config(drift.Noise, drift.Day)
+	assert.Equal(t, judge(t, c, local(1, 4)).late, 0)
+	c.Length = 2 * time.Hour
+	assert.Assert(t, judge(t, c, credulous{local(1, 0)}).late > 0)
+}
+
+// credulous takes every estimate for the truth.
+type credulous struct{ Local }
+
+func (c credulous) Decide(in placement.Input, at time.Duration) (m expertmap.Map, rate float64, err error) {
+	in.Loads.Variance = make([]float64, len(in.Loads.Share))
+	in.Loads.Steady = nil
+	return c.Local.Decide(in, at)
+}
+
+// TestLostRank loses a rank at the peak while loads are under way and gives it
+// back. Run itself fails if a map lacks weights or experts.
+func TestLostRank(t *testing.T) {
+	t.Parallel()
+	c := config(drift.Lost, 16*time.Hour)
+	c.Demand.Layers = 1
+	r, err := Run(c, local(1, 4))
+	assert.NilError(t, err)
+	assert.Assert(t, r.Stopped > 0)
+	assert.Assert(t, r.Stopped <= Settle, "stopped for %s", r.Stopped)
+	assert.Equal(t, r.Unrecovered, 0)
+}
+
+// TestOutage has the store down when the mix switches.
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	c := config(drift.Sudden, 8*time.Hour)
+	c.OutageBegin, c.OutageEnd = 6*time.Hour-time.Minute, 7*time.Hour
+	r, err := Run(c, local(1, 0.1))
+	assert.NilError(t, err)
+	assert.Equal(t, r.Unrecovered, 0)
+	late := r.Ratio[len(r.Ratio)-100:]
+	assert.Assert(t, slices.Max(late) <= 1.1, "skew after the outage: %v", slices.Max(late))
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,207 @@
+package placement_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/drift"
+	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/naive"
+	"github.com/cyclamenpoint/cyclamenpoint/placement"
+)
+
+func assertAs[T error](err error, target *T) bool { return errors.As(err, target) }
+
+// hotExpert returns a group of four ranks with twelve experts, of which expert 0
+// has 30% of the load, and the decision by the given weight of moves.
+func hotExpert(t *testing.T, move float64) (placement.Policy, placement.Input, placement.Decision) {
+	t.Helper()
+	static, err := expertmap.Static(expertmap.Shape{Layers: 1, Experts: 12, Ranks: 4, Slots: 5})
+	assert.NilError(t, err)
+	in := placement.Input{
+		InForce: static,
+		Loaded:  static,
+		Ranks:   ranks(4),
+		Store:   placement.Store{BytesPerSecond: 100},
+		Loads:   placement.Loads{Windows: 1, Variance: make([]float64, 12), Share: []float64{0.3}},
+	}
+	for range 11 {
+		in.Loads.Share = append(in.Loads.Share, 0.7/11)
+	}
+	p := placement.NewPolicy(deployment.Group{
+		ExpertBytes: 100,
+		Objective:   deployment.Objective{Skew: 1, Move: move},
+	})
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	return p, in, d
+}
+
+// settle carries decisions out until nothing changes and returns the bytes.
+func settle(t *testing.T, p placement.Policy, in *placement.Input) int64 {
+	t.Helper()
+	bytes := int64(0)
+	for range 200 {
+		d, err := p.Decide(*in)
+		assert.NilError(t, err)
+		assert.Equal(t, check(p, *in, d), faults{})
+		if !d.Change {
+			return bytes
+		}
+		bytes += d.After.Bytes
+		carryOut(t, in, d, len(d.Moves))
+		in.InForce = d.Map
+	}
+	t.Fatal("decisions do not come to rest")
+	return 0
+}
+
+// carryOut loads the first n moves of a decision.
+func carryOut(t *testing.T, in *placement.Input, d placement.Decision, n int) {
+	t.Helper()
+	loaded, err := in.Loaded.Resize(len(in.Ranks))
+	assert.NilError(t, err)
+	for rank, r := range in.Ranks {
+		if r.Lost {
+			loaded = loaded.Without(rank)
+		}
+	}
+	in.Loaded, err = expertmap.Apply(loaded, d.Moves[:n])
+	assert.NilError(t, err)
+}
+
+func TestWeightsAloneDecide(t *testing.T) {
+	_, _, bySkew := hotExpert(t, 0.1)
+	_, _, byMove := hotExpert(t, 100)
+	assert.Equal(t, bySkew.Reason, placement.ReasonRebalance)
+	assert.Assert(t, bySkew.After.Skew < bySkew.Before.Skew)
+	assert.Equal(t, byMove.Reason, placement.ReasonHold)
+	assert.Assert(t, !byMove.Change)
+}
+
+func TestHalfDoneMoveIsContinued(t *testing.T) {
+	p, in, d := hotExpert(t, 0.1)
+	assert.Assert(t, len(d.Moves) >= 2)
+	carryOut(t, &in, d, len(d.Moves)-1)
+	again, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Assert(t, len(again.Moves) < len(d.Moves))
+	assert.Assert(t, again.After.Value <= d.After.Value)
+	in.Store.Down = true
+	outage, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, len(outage.Moves), 0)
+	assert.Assert(t, outage.After.Skew < outage.Before.Skew, "the loaded weights are of use")
+}
+
+func TestOldOrMissingEstimatesMoveNothing(t *testing.T) {
+	p, in, _ := hotExpert(t, 0.1)
+	in.Loads.Age = p.MaxAge + 1
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, placement.ReasonOldEstimate)
+	assert.Assert(t, !d.Change)
+	in.Loads = placement.Loads{}
+	d, err = p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, placement.ReasonNoEstimate)
+	assert.Assert(t, !d.Change)
+}
+
+func TestLostRankIsRepairedWhateverItCosts(t *testing.T) {
+	p, in, _ := hotExpert(t, 1e9)
+	in.Ranks[2].Lost = true
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, placement.ReasonRepair)
+	assert.Equal(t, len(d.Moves), 3)
+	assert.Equal(t, check(p, in, d), faults{})
+	in.Store.Down = true
+	_, err = p.Decide(in)
+	var unservable *placement.UnservableError
+	assert.Assert(t, assertAs(err, &unservable) && unservable.StoreDown)
+	in.Store.Down = false
+	in.Ranks[0].Lost = true
+	in.Ranks[1].Lost = true
+	_, err = p.Decide(in)
+	assert.Assert(t, assertAs(err, &unservable) && !unservable.StoreDown)
+}
+
+func TestRepairOverwritesReplicasOnlyWithoutFreeSlots(t *testing.T) {
+	p, in, _ := hotExpert(t, 1)
+	in.InForce = naive.Resolve(in.InForce, in.Loads.Share, []bool{true, true, true, true})
+	in.Loaded = in.InForce
+	in.Ranks[3].Lost = true
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, check(p, in, d), faults{})
+}
+
+func TestGroupGrowsAndShrinks(t *testing.T) {
+	p, in, _ := hotExpert(t, 0.1)
+	in.Ranks = ranks(5)
+	settle(t, p, &in)
+	assert.Assert(t, !in.InForce.Without(4).Equal(in.InForce), "the new rank is used")
+	in.Ranks = ranks(3)
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Assert(t, d.Change)
+	assert.Equal(t, check(p, in, d), faults{})
+}
+
+func TestRankThatLacksWeightsIsAnError(t *testing.T) {
+	p, in, _ := hotExpert(t, 1)
+	in.Loaded = in.Loaded.Without(1)
+	_, err := p.Decide(in)
+	var missing *expertmap.NotLoadedError
+	assert.Assert(t, assertAs(err, &missing))
+}
+
+// TestLastSlotIsUsedForAHotExpertAndGivenBack has one slot to spare on each rank.
+func TestLastSlotIsUsedForAHotExpertAndGivenBack(t *testing.T) {
+	p, in, _ := hotExpert(t, 0.1)
+	var err error
+	in.InForce, err = expertmap.Static(expertmap.Shape{Layers: 1, Experts: 12, Ranks: 4, Slots: 4})
+	assert.NilError(t, err)
+	in.Loaded = in.InForce
+	settle(t, p, &in)
+	assert.Assert(t, in.InForce.Replicas(0)[0] > 1)
+	in.Loads.Share = append([]float64(nil), in.Loads.Share...)
+	for e := range in.Loads.Share {
+		in.Loads.Share[e] = 1.0 / 12
+	}
+	settle(t, p, &in)
+	for rank := range 4 {
+		assert.Assert(t, in.InForce.Holds(0, rank, expertmap.Empty), "rank %d has no free slot", rank)
+	}
+}
+
+// TestAgainstNaive compares where the policy comes to rest with both naive ways:
+// skew as good as a full re-solve's or the target, at half of its bytes.
+func TestAgainstNaive(t *testing.T) {
+	for _, shape := range []drift.Shape{drift.Slow, drift.Sudden, drift.Correlated} {
+		c := drift.Config{Shape: shape, Layers: 4, Experts: 64, Ranks: 16, Seed: 3}
+		static, err := expertmap.Static(expertmap.Shape{Layers: 4, Experts: 64, Ranks: 16, Slots: 6})
+		assert.NilError(t, err)
+		in := placement.Input{InForce: static, Loaded: static, Ranks: ranks(16),
+			Loads: estimates(c, 100), Store: placement.Store{BytesPerSecond: 100}}
+		p := placement.NewPolicy(deployment.Group{ExpertBytes: 1, Objective: deployment.Objective{Skew: 1, Move: 0.1}})
+		alive := make([]bool, 16)
+		for i := range alive {
+			alive[i] = true
+		}
+		full := naive.Resolve(static, in.Loads.Share, alive)
+		assert.NilError(t, full.Validate())
+		loads, err := expertmap.Loads(static, full)
+		assert.NilError(t, err)
+		bytes := settle(t, p, &in)
+		skew := placement.Skew(in.InForce, in.Loads, in.Ranks)
+		bound := placement.Bound(static.Shape(), in.Loads, in.Ranks)
+		assert.Assert(t, skew <= 1.05*bound, "%s: skew %.3f", shape, skew)
+		assert.Assert(t, skew < placement.Skew(static, in.Loads, in.Ranks))
+		assert.Assert(t, 2*bytes <= int64(len(loads)), "%s: %d bytes of %d", shape, bytes, len(loads))
+	}
+}
