--- a/placement/layer.go
+++ b/placement/layer.go
@@ -34,8 +34,10 @@
 	// load and used are by rank.
 	load []float64
 	used []int
-	// loads is the number of slots in which use differs from loaded.
-	loads int
+	// loads is the number of slots in which use differs from loaded, and regains
+	// that of the other slots in which use differs from base: their weights are
+	// still there from an earlier use.
+	loads, regains int
 	// overwrite lets loads take slots that base uses. It is set while the group
 	// cannot step anyway.
 	overwrite bool
@@ -52,6 +54,10 @@
 	}
 }
 
+// regainCost is the cost of taking weights into use that are still loaded, in
+// loads. It keeps small gains from switching the map to and fro.
+const regainCost = 0.25
+
 // reset starts the search of a layer from the map in force.
 func (l *layerState) reset(base, loaded []expertmap.Expert, share, variance []float64) {
 	l.base, l.loaded, l.share, l.variance = base, loaded, share, variance
@@ -67,16 +73,14 @@
 	}
 	clear(l.load)
 	clear(l.used)
-	l.loads = 0
+	l.loads, l.regains = 0, 0
 	for i, e := range l.use {
 		if e == expertmap.Empty {
 			continue
 		}
 		l.holders[e] = append(l.holders[e], i/l.shape.Slots)
 		l.used[i/l.shape.Slots]++
-		if l.loaded[i] != e {
-			l.loads++
-		}
+		l.count(i, e, 1)
 	}
 	for e, holders := range l.holders {
 		for _, rank := range holders {
@@ -100,11 +104,10 @@
 	return slices.Contains(l.holders[e], rank)
 }
 
-// find returns the best slot of a rank for e and the loads that it costs, or
-// false if there is none. A slot that has e loaded costs nothing. Among the
-// others it takes the one whose unused weights have the least load, for these
+// find returns the best slot of a rank for e and its cost in loads, or false if
+// there is none. A slot that has e loaded comes first. Among the others it takes the one whose unused weights have the least load, for these
 // are the least likely to be wanted back.
-func (l *layerState) find(rank int, e expertmap.Expert) (slot, cost int, ok bool) {
+func (l *layerState) find(rank int, e expertmap.Expert) (slot int, cost float64, ok bool) {
 	slot = -1
 	coldest := 0.0
 	for s := range l.shape.Slots {
@@ -112,9 +115,12 @@
 		if l.use[i] != expertmap.Empty {
 			continue
 		}
-		if l.loaded[i] == e {
+		if l.base[i] == e {
 			return s, 0, true
 		}
+		if l.loaded[i] == e {
+			return s, regainCost, true
+		}
 		if !l.canLoad || l.base[i] != expertmap.Empty && !l.overwrite {
 			continue
 		}
@@ -141,11 +147,25 @@
 	i := rank*l.shape.Slots + slot
 	l.use[i] = e
 	l.used[rank]++
-	if l.loaded[i] != e {
-		l.loads++
+	l.count(i, e, 1)
+}
+
+// count adds n to loads or regains if e in slot i is either.
+func (l *layerState) count(i int, e expertmap.Expert, n int) {
+	switch e {
+	case l.base[i]:
+	case l.loaded[i]:
+		l.regains += n
+	default:
+		l.loads += n
 	}
 }
 
+// cost is that of the placement under search, in loads.
+func (l *layerState) cost() float64 {
+	return float64(l.loads) + regainCost*float64(l.regains)
+}
+
 // drop takes e from a rank that holds it.
 func (l *layerState) drop(rank int, e expertmap.Expert) {
 	l.spread(e, -1)
@@ -155,9 +175,7 @@
 	i := rank*l.shape.Slots + slices.Index(l.rank(rank), e)
 	l.use[i] = expertmap.Empty
 	l.used[rank]--
-	if l.loaded[i] != e {
-		l.loads--
-	}
+	l.count(i, e, -1)
 }
 
 // spread adds the load of e, times sign, to the ranks that hold it.
--- a/placement/mix.go
+++ b/placement/mix.go
@@ -7,13 +7,21 @@
 	// slowGain and fastGain weigh the newest window in the two averages.
 	slowGain = 0.0025
 	fastGain = 0.1
-	// varianceGain weighs the newest window in the variance of a window.
+	// varianceGain weighs the newest window in the variance and the correlation of
+	// windows.
 	varianceGain = 0.02
+	// priorWindows is the number of windows that the first guess of the noise,
+	// sampling alone, is worth.
+	priorWindows = 4
 	// jumpLimit and driftLimit are the mean squared deviations, in units of
 	// their variance, from which a window or the fast average shows that the
 	// mix has changed.
 	jumpLimit  = 6
-	driftLimit = 4
+	driftLimit = 2.5
+	// pairWindows is the time between two drifts that shows that the mix is on
+	// the move. A single one may be noise: it refreshes the estimate, but the
+	// layer stays steady.
+	pairWindows = 360
 	// driftWindows is the number of windows that the fast average rests on.
 	driftWindows = 19
 	// maxCorrelation bounds what is believed of the correlation of windows.
@@ -29,6 +37,11 @@
 	correlation float64
 	// samples is the number of windows that slow is worth, at most 2/slowGain-1.
 	samples float64
+	// modelled is the number of windows in variance and correlation, which
+	// outlast a change of the mix.
+	modelled float64
+	// sinceDrift is the number of windows since the last drift.
+	sinceDrift int64
 	// steady is the number of windows since the mix changed.
 	steady int64
 }
@@ -45,9 +58,12 @@
 		return
 	}
 	l.steady++
+	l.sinceDrift++
 	l.samples = min(l.samples+1, 2/slowGain-1)
 	slow := max(slowGain, 1/l.samples)
 	fast := max(fastGain, 1/l.samples)
+	l.modelled++
+	model := max(varianceGain, 1/(l.modelled+priorWindows))
 	product := 0.0
 	for i, n := range counts {
 		x := float64(n) / tokens
@@ -55,15 +71,18 @@
 		product += d * l.last[i] / max(l.variance[i], math.SmallestNonzeroFloat32)
 		l.last[i] = d
 		floor := x * (1 - x) / tokens
-		l.variance[i] = max(floor, l.variance[i]+varianceGain*(d*d-l.variance[i]))
+		l.variance[i] = max(floor, l.variance[i]+model*(d*d-l.variance[i]))
 		l.slow[i] += slow * (x - l.slow[i])
 		l.fast[i] += fast * d
 	}
-	l.correlation += varianceGain * (product/float64(len(counts)) - l.correlation)
+	l.correlation += model * (product/float64(len(counts)) - l.correlation)
 	if l.drift() > driftLimit {
 		copy(l.slow, l.fast)
 		l.samples = min(l.samples, driftWindows)
-		l.steady = 0
+		if l.sinceDrift < pairWindows {
+			l.steady = 0
+		}
+		l.sinceDrift = 0
 	}
 }
 
--- a/placement/objective.go
+++ b/placement/objective.go
@@ -11,7 +11,7 @@
 // Terms are the terms of the objective for one map:
 //
 //	Value = Skew weight * mean skew over the horizon
-//	      + Move weight * Bytes / bytes of all experts of all layers
+//	      + Move weight * (loads + Regained/4) / experts of all layers
 //
 // Until the map is in force, for Delay, the skew over the horizon is that of the
 // map in force before.
@@ -23,6 +23,9 @@
 	Bound float64
 	// Bytes go through the weight store.
 	Bytes int64
+	// Regained counts the slots that are taken into use again with weights that
+	// are still loaded.
+	Regained int
 	// Delay is the time until the map is in force, at the rate that the policy
 	// leaves to the change.
 	Delay time.Duration
@@ -36,15 +39,15 @@
 // String gives the decision as one line for the log.
 func (d Decision) String() string {
 	return fmt.Sprintf("map %016x, %s: skew %.4f to %.4f, bound %.4f, objective %.4f to %.4f, "+
-		"%d loads, %d bytes, in force after %s, crowded experts %d to %d",
+		"%d loads, %d bytes, %d regained, in force after %s, crowded experts %d to %d",
 		d.Map.Hash(), d.Reason, d.Before.Skew, d.After.Skew, d.After.Bound,
-		d.Before.Value, d.After.Value, len(d.Moves), d.After.Bytes,
+		d.Before.Value, d.After.Value, len(d.Moves), d.After.Bytes, d.After.Regained,
 		d.After.Delay.Round(time.Millisecond), d.Before.Crowded, d.After.Crowded)
 }
 
 // change is what terms needs to know of a change besides its map.
 type change struct {
-	loads int
+	loads, regained int
 	// rate is what the loads may take of the store, in bytes per second.
 	rate float64
 	// before is nil for the map in force.
@@ -54,10 +57,11 @@
 // terms works out the terms of map m.
 func (p Policy) terms(m expertmap.Map, in Input, c change) Terms {
 	t := Terms{
-		Skew:    Skew(m, in.Loads, in.Ranks),
-		Bound:   Bound(m.Shape(), in.Loads, in.Ranks),
-		Bytes:   int64(c.loads) * p.ExpertBytes,
-		Crowded: crowded(m, in.Ranks),
+		Skew:     Skew(m, in.Loads, in.Ranks),
+		Bound:    Bound(m.Shape(), in.Loads, in.Ranks),
+		Bytes:    int64(c.loads) * p.ExpertBytes,
+		Regained: c.regained,
+		Crowded:  crowded(m, in.Ranks),
 	}
 	t.Delay = delay(t.Bytes, c.rate)
 	mean := t.Skew
@@ -66,8 +70,8 @@
 		mean = late*c.before.Skew + (1-late)*t.Skew
 	}
 	shape := m.Shape()
-	all := float64(shape.Layers*shape.Experts) * float64(p.ExpertBytes)
-	t.Value = p.Objective.Skew*mean + p.Objective.Move*float64(t.Bytes)/all
+	cost := float64(c.loads) + regainCost*float64(c.regained)
+	t.Value = p.Objective.Skew*mean + p.Objective.Move*cost/float64(shape.Layers*shape.Experts)
 	return t
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -176,11 +176,16 @@
 		return Decision{}, err
 	}
 	d.Moves = moves
+	changes, err := expertmap.Loads(s.base, d.Map)
+	if err != nil {
+		return Decision{}, err
+	}
 	d.Before = s.policy.terms(s.base, s.in, change{})
 	d.After = s.policy.terms(d.Map, s.in, change{
-		loads:  len(moves),
-		rate:   s.rate(),
-		before: &d.Before,
+		loads:    len(moves),
+		regained: len(changes) - len(moves),
+		rate:     s.rate(),
+		before:   &d.Before,
 	})
 	return d, nil
 }
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -47,7 +47,7 @@
 // that has its weights, then the least loaded with a free slot, then the least
 // loaded that can give up a replica of another expert.
 func (l *layerState) adopt(e expertmap.Expert) bool {
-	best, bestCost := -1, 0
+	best, bestCost := -1, 0.0
 	for r := range l.shape.Ranks {
 		_, cost, ok := l.find(r, e)
 		if !l.alive[r] || !ok {
--- a/placement/search.go
+++ b/placement/search.go
@@ -14,14 +14,14 @@
 	maxSteps = 96
 	// significance is the number of standard errors by which a gain has to
 	// exceed the noise of the estimates.
-	significance = 3
+	significance = 2
 	// leastGain is the least gain of a layer that is acted on, in units of the
 	// mean rank load.
 	leastGain = 0.005
 	// steadyWindows is the number of windows after which a layer whose mix has
 	// not changed is left alone, and steadyGain what it then takes to touch it
 	// after all, above twice the cost, in units of the mean rank load.
-	steadyWindows = 360
+	steadyWindows = 300
 	steadyGain    = 0.05
 )
 
@@ -44,7 +44,9 @@
 	layer int
 	use   []expertmap.Expert
 	// gain is the fall of the largest rank load, in units of the mean.
-	gain  float64
+	gain float64
+	// cost is counted in loads.
+	cost  float64
 	loads int
 }
 
@@ -219,8 +221,8 @@
 	}
 }
 
-// density is the gain for each load.
-func (p plan) density() float64 { return p.gain / (float64(p.loads) + 0.1) }
+// density is the gain for its cost.
+func (p plan) density() float64 { return p.gain / (p.cost + regainCost) }
 
 // improve runs the local search of the entered layer. It goes on from step to
 // step as long as the hottest rank can be lowered, and returns the best
@@ -244,8 +246,8 @@
 		peak /= l.mean
 		gain := start - peak
 		cost := 0.0
-		if l.loads > 0 {
-			cost = price * float64(l.loads)
+		if l.cost() > 0 {
+			cost = price * l.cost()
 		}
 		if cost >= start-1 || l.loads > budget {
 			break
@@ -253,7 +255,7 @@
 		if net := gain*paid - cost; bar.clears(net, cost) && net > bestNet {
 			bestNet = net
 			best.use = append(best.use[:0], l.use...)
-			best.gain, best.loads = gain, l.loads
+			best.gain, best.cost, best.loads = gain, l.cost(), l.loads
 		}
 	}
 	if !best.found() {
--- a/placement/step.go
+++ b/placement/step.go
@@ -16,8 +16,8 @@
 	// peak is the largest load afterwards among the ranks whose load grows and
 	// the hottest one.
 	peak float64
-	// cost is the number of loads.
-	cost int
+	// cost is counted in loads.
+	cost float64
 	// score orders steps; less is better.
 	score float64
 }
@@ -78,7 +78,7 @@
 			peak = max(peak, c.l.load[r]+grown)
 		}
 	}
-	c.offer(step{add: expertmap.Empty, to: -1, from: c.hot, evict: e, back: -1, peak: peak}, false)
+	c.offer(step{add: expertmap.Empty, to: -1, from: c.hot, evict: e, back: -1, peak: peak})
 }
 
 // tryRank tries the steps that put e, which the hottest rank holds, on rank r.
@@ -94,11 +94,11 @@
 	none := expertmap.Empty
 	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each+shared, l.load[r]+shared)) {
 		c.offer(step{add: e, to: r, from: -1, evict: none, back: -1, cost: cost,
-			peak: max(c.first-each+shared, l.load[r]+shared)}, l.crowds(r, e, -1))
+			peak: max(c.first-each+shared, l.load[r]+shared)})
 	}
 	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each, l.load[r]+each)) {
 		c.offer(step{add: e, to: r, from: c.hot, evict: none, back: -1, cost: cost,
-			peak: max(c.first-each, l.load[r]+each)}, l.crowds(r, e, c.hot))
+			peak: max(c.first-each, l.load[r]+each)})
 	}
 	for _, b := range l.rank(r) {
 		if b == expertmap.Empty {
@@ -116,10 +116,11 @@
 }
 
 // trySwap exchanges e on the hottest rank for b on rank r.
-func (c *chooser) trySwap(e expertmap.Expert, r int, b expertmap.Expert, cost int) {
+func (c *chooser) trySwap(e expertmap.Expert, r int, b expertmap.Expert, cost float64) {
 	l := c.l
 	d := l.each(e) - l.each(b)
-	if d <= 0 || l.holds(c.hot, b) {
+	peak := max(c.first-d, l.load[r]+d)
+	if c.hopeless(peak, cost) || l.holds(c.hot, b) {
 		return
 	}
 	_, back, ok := l.find(c.hot, b)
@@ -127,12 +128,12 @@
 		return
 	}
 	c.offer(step{add: e, to: r, from: c.hot, evict: b, back: c.hot, cost: cost + back,
-		peak: max(c.first-d, l.load[r]+d)}, l.crowds(r, e, c.hot) || l.crowds(c.hot, b, r))
+		peak: peak})
 }
 
 // tryEvict puts e on rank r in place of a replica of b, once as a further
 // replica and once instead of the one on the hottest rank.
-func (c *chooser) tryEvict(e expertmap.Expert, r int, b expertmap.Expert, cost int) {
+func (c *chooser) tryEvict(e expertmap.Expert, r int, b expertmap.Expert, cost float64) {
 	l := c.l
 	kb := len(l.holders[b])
 	if kb < 2 {
@@ -153,24 +154,20 @@
 		}
 	}
 	c.offer(step{add: e, to: r, from: -1, evict: b, back: -1, cost: cost,
-		peak: max(others, c.first-each+shared+hot, l.load[r]+shared-eachB)}, l.crowds(r, e, -1))
+		peak: max(others, c.first-each+shared+hot, l.load[r]+shared-eachB)})
 	c.offer(step{add: e, to: r, from: c.hot, evict: b, back: -1, cost: cost,
-		peak: max(others, c.first-each+hot, l.load[r]+each-eachB)}, l.crowds(r, e, c.hot))
+		peak: max(others, c.first-each+hot, l.load[r]+each-eachB)})
 }
 
 // offer keeps the step if it lowers the hottest rank and is the best so far. A
 // peak below the second largest load counts as that load, since the layer gains
 // no more than that; the peak itself decides between equals.
-func (c *chooser) offer(s step, crowds bool) {
-	if s.peak >= c.first*(1-1e-9) {
+func (c *chooser) offer(s step) {
+	if c.hopeless(s.peak, s.cost) {
 		return
 	}
-	mean := c.l.mean
-	s.score = max(s.peak, c.second)/mean + s.peak/mean*loadPenalty
-	if s.cost > 0 {
-		s.score += c.price * float64(s.cost)
-	}
-	if crowds {
+	s.score = c.score(s.peak, s.cost)
+	if c.l.crowded(s) {
 		s.score += crowdPenalty
 	}
 	if !c.found || s.score < c.best.score {
@@ -178,6 +175,33 @@
 	}
 }
 
+// score rates a peak and a cost; less is better.
+func (c *chooser) score(peak, cost float64) float64 {
+	score := (max(peak, c.second) + peak*loadPenalty) / c.l.mean
+	if cost > 0 {
+		score += c.price * cost
+	}
+	return score
+}
+
+// hopeless reports whether no step of this peak and at least this cost can be
+// kept.
+func (c *chooser) hopeless(peak, cost float64) bool {
+	if peak >= c.first*(1-1e-9) {
+		return true
+	}
+	return c.found && c.score(peak, cost) >= c.best.score
+}
+
+// crowded reports whether the step puts a replica into a failure domain that
+// has one already.
+func (l *layerState) crowded(s step) bool {
+	if s.add != expertmap.Empty && l.crowds(s.to, s.add, s.from) {
+		return true
+	}
+	return s.back >= 0 && l.crowds(s.back, s.evict, s.to)
+}
+
 // apply carries the step out.
 func (l *layerState) apply(s step) {
 	if s.add == expertmap.Empty {
