Share configuration, membership, crashes and demand between the nodes

Cause: the demo's processes shared one configuration in memory, and no node knew of the others. Conclusion: each process has one core of duties; the demo hands its configuration over as an operator does.

--- a/command/serve.go
+++ b/command/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/cyclamenpoint/cyclamenpoint/config"
 	"github.com/cyclamenpoint/cyclamenpoint/node"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 )
@@ -27,7 +26,7 @@
 	}
 	ctx, cancel := untilSignal()
 	defer cancel()
-	n, err := node.StartEntry(s, secret, &config.Holder{}, nil)
+	n, err := node.StartEntry(s, secret, nil)
 	if err != nil {
 		return err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -16,17 +16,19 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/cyclamenpoint/cyclamenpoint/config"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
 	"github.com/cyclamenpoint/cyclamenpoint/node"
+	"github.com/cyclamenpoint/cyclamenpoint/objectstore"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/rollout"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
 	objectstorestandin "github.com/cyclamenpoint/cyclamenpoint/standin/objectstore"
 	servicestandin "github.com/cyclamenpoint/cyclamenpoint/standin/service"
 	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
 	vmliststandin "github.com/cyclamenpoint/cyclamenpoint/standin/vmlist"
+	"github.com/cyclamenpoint/cyclamenpoint/table"
 )
 
 // Sizes and times of the demo.
@@ -42,6 +44,9 @@
 	cacheBlocks    = 4096
 	prefillBlocks  = 16
 	maxTokens      = 10_000
+	seedCount      = 3
+	startTimeout   = 30 * time.Second
+	readyPoll      = 20 * time.Millisecond
 	demoKey        = "demo-key"
 	demoModel      = "demo"
 	demoService    = "desk"
@@ -54,17 +59,19 @@
 
 // Demo is a running demo.
 type Demo struct {
-	opts     Options
-	platform settings.Platform
-	table    *tablestandin.Store
-	engines  *enginestandin.Group
-	service  *servicestandin.Service
-	standins []*http.Server
-	holder   *config.Holder
-	agents   []*node.Agent
-	entries  []*node.Entry
-	callers  []string
-	sockets  node.Sockets
+	opts      Options
+	platform  settings.Platform
+	table     *tablestandin.Store
+	engines   *enginestandin.Group
+	service   *servicestandin.Service
+	standins  []*http.Server
+	agents    []*node.Agent
+	entries   []*node.Entry
+	callers   []string
+	sockets   node.Sockets
+	config    *deployment.Deployment
+	seeds     []string
+	operators []string
 }
 
 // Options describe a demo.
@@ -83,7 +90,7 @@
 
 // Start starts the demo.
 func Start(opts Options) (*Demo, error) {
-	d := &Demo{opts: opts, holder: &config.Holder{}, sockets: make(node.Sockets)}
+	d := &Demo{opts: opts, sockets: make(node.Sockets)}
 	if err := d.start(); err != nil {
 		d.close()
 		return nil, err
@@ -109,7 +116,28 @@
 	if err := d.startAgents(secret); err != nil {
 		return err
 	}
-	return d.startEntries(secret)
+	if err := d.startEntries(secret); err != nil {
+		return err
+	}
+	return d.awaitReady()
+}
+
+// awaitReady waits until the entry nodes may serve.
+func (d *Demo) awaitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for _, e := range d.entries {
+		for e.Ready() != "" {
+			select {
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "wait for the entry nodes: "+e.Ready())
+			case <-ticker.C:
+			}
+		}
+	}
+	return nil
 }
 
 // startPlatform starts the platform's stand-ins.
@@ -196,6 +224,9 @@
 		return err
 	}
 	deploy.Endpoints = append(deploy.Endpoints, e)
+	if len(d.seeds) < seedCount {
+		d.seeds = append(d.seeds, e.Agent)
+	}
 	return nil
 }
 
@@ -225,28 +256,33 @@
 	return l.Addr().String(), nil
 }
 
-// accept puts the configuration in force.
+// accept hands the configuration over, as an operator does.
 func (d *Demo) accept(deploy *deployment.Deployment) error {
 	text, err := deploy.Canonical()
 	if err != nil {
 		return err
 	}
-	snap, err := config.NewSnapshot(1, "demo", text)
+	d.config, err = deployment.Parse("demo", text)
 	if err != nil {
 		return err
 	}
-	d.holder.Advance(snap)
-	return nil
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	registry := rollout.NewRegistry(
+		table.NewClient(table.Settings{URL: d.platform.Table}, nil),
+		objectstore.NewClient(objectstore.Settings{URL: d.platform.Objects}, nil))
+	_, err = registry.Accept(ctx, rollout.Proposal{Body: text, Who: "demo", ID: "demo"})
+	return errors.Wrap(err, "hand over the configuration")
 }
 
 func (d *Demo) startAgents(secret peer.Secret) error {
-	for _, e := range d.holder.Current().Deployment.Endpoints {
+	for _, e := range d.config.Endpoints {
 		common, err := d.nodeSettings("agent-"+e.Name, e.VM, e.FailureDomain)
 		if err != nil {
 			return err
 		}
 		common.Peers = e.Agent
-		a, err := node.StartAgent(&settings.Agent{Node: common, Endpoint: e.Name}, secret, d.holder, d.sockets)
+		a, err := node.StartAgent(&settings.Agent{Node: common, Endpoint: e.Name}, secret, d.sockets)
 		if err != nil {
 			return err
 		}
@@ -260,7 +296,8 @@
 	if err != nil {
 		return settings.Node{}, err
 	}
-	return settings.Node{Name: name, VM: vm, FailureDomain: failureDomain, Region: "demo", Operators: operators, Platform: d.platform}, nil
+	d.operators = append(d.operators, operators)
+	return settings.Node{Seeds: d.seeds, Name: name, VM: vm, FailureDomain: failureDomain, Region: "demo", Operators: operators, Platform: d.platform}, nil
 }
 
 func (d *Demo) startEntries(secret peer.Secret) error {
@@ -277,7 +314,11 @@
 		if err != nil {
 			return err
 		}
-		e, err := node.StartEntry(&settings.Entry{Node: common, Callers: callers, Limits: entry.DefaultLimits(), DebugVars: true}, secret, d.holder, d.sockets)
+		common.Peers, err = d.reserve()
+		if err != nil {
+			return err
+		}
+		e, err := node.StartEntry(&settings.Entry{Node: common, Callers: callers, Limits: entry.DefaultLimits(), DebugVars: true}, secret, d.sockets)
 		if err != nil {
 			return err
 		}
--- a/demo/failure_test.go
+++ b/demo/failure_test.go
@@ -41,7 +41,7 @@
 // agentOf returns the agent beside an endpoint.
 func agentOf(t *testing.T, d *Demo, endpoint string) *node.Agent {
 	t.Helper()
-	for i, e := range d.holder.Current().Deployment.Endpoints {
+	for i, e := range d.config.Endpoints {
 		if e.Name == endpoint {
 			return d.agents[i]
 		}
@@ -68,7 +68,7 @@
 		}},
 		{"agent dies", func(t *testing.T, d *Demo, id string) {
 			i, _ := rankOf(t, d, id)
-			agentOf(t, d, d.holder.Current().Deployment.Ranks(demoGroup)[i].Name).Abort()
+			agentOf(t, d, d.config.Ranks(demoGroup)[i].Name).Abort()
 		}},
 		{"group stalls", func(_ *testing.T, d *Demo, _ string) {
 			d.engines.Stall(4 * time.Second)
@@ -158,7 +158,7 @@
 	for d.service.Runs("order-3") == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	for i, e := range d.holder.Current().Deployment.Endpoints {
+	for i, e := range d.config.Endpoints {
 		if strings.HasPrefix(e.Name, demoService) {
 			d.agents[i].Abort()
 		}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -16,6 +16,8 @@
 	rc     *http.ResponseController
 	begun  bool
 	stream bool
+	// events counts those of a stream, one for each token.
+	events int
 }
 
 // Head writes the status and the header.
@@ -35,6 +37,7 @@
 		_, err := a.w.Write(data)
 		return errors.Wrap(err, "write to the caller")
 	}
+	a.events++
 	if err := a.event("", data); err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,8 +16,10 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/quota"
 )
 
 // Header fields of the callers' interface.
@@ -70,10 +72,18 @@
 	Ready() string
 }
 
+// Limiter holds the organisations' limits over all entry nodes.
+type Limiter interface {
+	// Admit counts a request that may generate tokens. Its error is a
+	// *quota.LimitedError.
+	Admit(organisation string, limits deployment.Limits, tokens float64) (*quota.Grant, error)
+}
+
 // Options describe an entry node's callers' side.
 type Options struct {
 	Config     *config.Holder
 	Dispatcher Dispatcher
+	Limiter    Limiter
 	Readiness  Readiness
 	Limits     Limits
 	// DebugVars shows the node's figures at /debug/vars.
--- a/entry/request.go
+++ b/entry/request.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
+	"github.com/cyclamenpoint/cyclamenpoint/quota"
 )
 
 const (
@@ -139,7 +140,7 @@
 	req.Prefixes, req.PromptBlocks = prefixes(body)
 	req.Alike = in.snapshot.Deployment.Serving(model.Name, "")
 	req.Fingerprint = string(quarantine.Of(quarantine.Content{Organisation: in.org.Name, Model: model.Name, Body: in.body}))
-	e.dispatch(w, r, req)
+	in.dispatch(req)
 }
 
 func (e *Entry) service(w http.ResponseWriter, r *http.Request) {
@@ -174,7 +175,7 @@
 	req.Fingerprint = string(quarantine.Of(quarantine.Content{
 		Organisation: in.org.Name, Service: service.Name, Method: r.Method, Path: req.Path, Body: in.body,
 	}))
-	e.dispatch(w, r, req)
+	in.dispatch(req)
 }
 
 // checkKey demands an idempotency key for a protected route.
@@ -193,12 +194,29 @@
 	return true
 }
 
-// dispatch runs a checked request and writes its answer or its problem.
-func (e *Entry) dispatch(w http.ResponseWriter, r *http.Request, req *dispatch.Request) {
-	out := &answer{w: w, rc: http.NewResponseController(w)}
-	if p := e.opts.Dispatcher.Do(r.Context(), req, out); p != nil {
+// dispatch runs a checked request within its organisation's limits and writes
+// its answer or its problem.
+func (in *received) dispatch(req *dispatch.Request) {
+	grant, err := in.entry.opts.Limiter.Admit(in.org.Name, in.org.Limits, req.Cost)
+	if err != nil {
+		in.limited(err)
+		return
+	}
+	out := &answer{w: in.w, rc: http.NewResponseController(in.w)}
+	defer func() { grant.Done(float64(out.events)) }()
+	if p := in.entry.opts.Dispatcher.Do(in.r.Context(), req, out); p != nil {
 		out.fail(p)
 		return
 	}
 	out.finish()
 }
+
+// limited turns a request away because its organisation is over a limit.
+func (in *received) limited(err error) {
+	p := &problem.Problem{Kind: problem.OverLimit, RequestID: in.id, Detail: err.Error()}
+	var limited *quota.LimitedError
+	if errors.As(err, &limited) {
+		p.RetryAfter = limited.RetryAfter
+	}
+	p.Write(in.w)
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -2,31 +2,32 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/cyclamenpoint/cyclamenpoint/agent"
 	"github.com/cyclamenpoint/cyclamenpoint/claim"
-	"github.com/cyclamenpoint/cyclamenpoint/config"
-	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
-	"github.com/cyclamenpoint/cyclamenpoint/objectstore"
+	"github.com/cyclamenpoint/cyclamenpoint/membership"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
-	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
-	"github.com/cyclamenpoint/cyclamenpoint/table"
 )
 
+// leaveNotice is how long a stopping agent waits, after it has told the others
+// that it leaves, before it refuses new attempts. Fewer attempts are refused
+// then.
+const leaveNotice = 500 * time.Millisecond
+
 // Agent is a running agent.
 type Agent struct {
-	agent     *agent.Agent
-	listeners []*listener
-	cancel    context.CancelFunc
-	duties    sync.WaitGroup
+	core     *core
+	settings *settings.Agent
+	// agent is nil until the configuration has told of the endpoint.
+	agent atomic.Pointer[agent.Agent]
 }
 
 // EndpointError tells that an agent's endpoint is not in the configuration.
@@ -39,102 +40,124 @@
 	return "endpoint " + e.Endpoint + " is not in the configuration"
 }
 
-// StartAgent starts the agent beside an endpoint of the configuration in
-// force. Errors are *EndpointError, *ListenError or of the settings.
-func StartAgent(s *settings.Agent, secret peer.Secret, holder *config.Holder, sockets Sockets) (*Agent, error) {
-	endpoint := holder.Current().Deployment.Endpoint(s.Endpoint)
-	if endpoint == nil {
-		return nil, &EndpointError{Endpoint: s.Endpoint}
-	}
-	security, err := peer.NewSecurity(secret, s.TLS)
+// StartAgent starts the agent beside an endpoint; sockets may be nil. The agent
+// takes attempts once a configuration with its endpoint is in force. Errors are
+// *ListenError or of the settings.
+func StartAgent(s *settings.Agent, secret peer.Secret, sockets Sockets) (*Agent, error) {
+	c, err := newCore(&s.Node, secret, "agent", s.Endpoint, membership.KindAgent)
 	if err != nil {
 		return nil, err
 	}
-	decisions := decision.NewLog(decisionsKept)
-	incarnation := uint64(time.Now().UnixNano())
-	suspects, err := quarantine.NewList(quarantineBounds)
-	if err != nil {
+	n := &Agent{core: c, settings: s}
+	service := &service{core: c, inFlight: n.inFlight}
+	if err := c.start(sockets, service, n.handle); err != nil {
+		c.close()
 		return nil, err
 	}
-	claims := newClaims(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := c.cancel
+	c.cancel = func() {
+		cancel()
+		end()
+	}
+	c.duty(ctx, n.serve)
+	return n, nil
+}
+
+// handle passes attempts to the agent once there is one. Until then its answer
+// proves nothing but that the process lives.
+func (n *Agent) handle(mux *http.ServeMux) {
+	path, _ := (&agent.Agent{}).Handler()
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		a := n.agent.Load()
+		if a == nil {
+			http.Error(w, "the agent has no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		_, handler := a.Handler()
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (n *Agent) inFlight() int {
+	if a := n.agent.Load(); a != nil {
+		return int(a.Load().GetRunning())
+	}
+	return 0
+}
+
+// serve waits for the endpoint's configuration and then watches the endpoint.
+func (n *Agent) serve(ctx context.Context) {
+	endpoint, err := n.awaitEndpoint(ctx)
+	if err != nil {
+		klog.Warningf("agent: endpoint %s was not served: %s.", n.settings.Endpoint, err)
+		return
+	}
+	claims := n.newClaims()
 	a, err := agent.New(agent.Options{
 		Endpoint:    endpoint.Name,
 		Address:     endpoint.Address,
 		Slots:       endpoint.Concurrency,
-		Incarnation: incarnation,
-		Config:      holder,
+		Incarnation: n.core.incarnation,
+		Config:      n.core.holder,
 		Claims:      claims,
-		Quarantine:  suspects,
-		Decisions:   decisions,
+		Quarantine:  n.core.suspects,
+		Decisions:   n.core.decisions,
 	})
 	if err != nil {
-		return nil, err
+		klog.Errorf("agent: endpoint %s cannot be served: %s.", endpoint.Name, err)
+		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &Agent{agent: a, cancel: cancel}
-	n.duties.Go(func() { a.Run(ctx) })
 	if endpoint.Kind == deployment.KindService {
-		n.duties.Go(func() { claims.Run(ctx) })
-	}
-	service := &service{
-		name: s.Name, role: "agent", failureDomain: s.FailureDomain, incarnation: incarnation, holder: holder, suspects: suspects, decisions: decisions,
-		inFlight: func() int { return int(a.Load().GetRunning()) },
+		n.core.duty(ctx, claims.Run)
 	}
-	if err := n.listen(s, security, service, sockets); err != nil {
-		n.close()
+	n.agent.Store(a)
+	klog.Infof("agent: serving endpoint %s at %s, incarnation %d.", endpoint.Name, endpoint.Address, n.core.incarnation)
+	a.Run(ctx)
+}
+
+// awaitEndpoint waits until a configuration with the endpoint is in force.
+func (n *Agent) awaitEndpoint(ctx context.Context) (*deployment.Endpoint, error) {
+	if err := n.core.waitReady(ctx); err != nil {
 		return nil, err
 	}
-	return n, nil
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		if e := n.core.holder.Current().Deployment.Endpoint(n.settings.Endpoint); e != nil {
+			return e, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &EndpointError{Endpoint: n.settings.Endpoint}
+		case <-ticker.C:
+		}
+	}
 }
 
 // newClaims returns the ledger of the protected requests that run here.
-func newClaims(s *settings.Agent) *claim.Ledger {
-	rows := table.NewClient(table.Settings{URL: s.Platform.Table, Timeout: s.Platform.TableTimeout}, nil)
-	objects := objectstore.NewClient(objectstore.Settings{URL: s.Platform.Objects, Timeout: s.Platform.ObjectTimeout}, nil)
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return claim.New(claim.Settings{Runner: s.Endpoint, Nonce: uuid.NewString()}, rows, objects, random)
+func (n *Agent) newClaims() *claim.Ledger {
+	return claim.New(claim.Settings{Runner: n.settings.Endpoint, Nonce: newNonce()}, n.core.table, n.core.objects, newRandom())
 }
 
-func (n *Agent) listen(s *settings.Agent, security *peer.Security, service *service, sockets Sockets) error {
-	mux := http.NewServeMux()
-	mux.Handle(n.agent.Handler())
-	peers, err := sockets.guarded("peers", s.Peers, security, mux)
-	if err != nil {
-		return err
+// Stop tells the others that the agent leaves, refuses new attempts, waits for
+// those that run, and then ends the agent. ctx bounds the wait.
+func (n *Agent) Stop(ctx context.Context) error {
+	n.core.members.Leave()
+	notice := time.NewTimer(leaveNotice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
 	}
-	n.listeners = append(n.listeners, peers)
-	operators, err := sockets.guarded("operators", s.Operators, security, service.handler())
-	if err != nil {
-		return err
+	var err error
+	if a := n.agent.Load(); a != nil {
+		err = a.Drain(ctx)
 	}
-	n.listeners = append(n.listeners, operators)
-	return nil
-}
-
-// Stop refuses new attempts, waits for those that run, and then ends the
-// agent. ctx bounds the wait.
-func (n *Agent) Stop(ctx context.Context) error {
-	err := n.agent.Drain(ctx)
-	n.close()
-	return err
+	n.core.close()
+	return errors.WithMessage(err, n.settings.Endpoint)
 }
 
 // Abort ends the agent at once, as the death of its process does: calls break
 // off, and nothing more is written.
-func (n *Agent) Abort() {
-	for _, l := range n.listeners {
-		l.abort()
-	}
-	n.cancel()
-	n.duties.Wait()
-}
-
-// close ends the agent's duties; that of the claims writes the answers that
-// it holds before it ends.
-func (n *Agent) close() {
-	n.cancel()
-	n.duties.Wait()
-	for _, l := range n.listeners {
-		l.close()
-	}
-}
+func (n *Agent) Abort() { n.core.abort() }
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,16 +4,19 @@
 	"context"
 	"expvar"
 	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/agentconn"
-	"github.com/cyclamenpoint/cyclamenpoint/config"
-	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/membership"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
+	"github.com/cyclamenpoint/cyclamenpoint/quota"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/router"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
@@ -44,73 +47,83 @@
 	MaxClears:  quarantine.DefaultMaxClears,
 }
 
+// quotaPeriods are the periods of the organisations' limits.
+var quotaPeriods = quota.Config{Window: quota.DefaultWindow, Hold: quota.DefaultHold}
+
 // Entry is a running entry node.
 type Entry struct {
-	entry     *entry.Entry
-	listeners []*listener
-	pool      *agentconn.Pool
+	core  *core
+	entry *entry.Entry
+	pool  *agentconn.Pool
 }
 
-// StartEntry starts an entry node; sockets may be nil. Errors are *ListenError or of the settings.
-func StartEntry(s *settings.Entry, secret peer.Secret, holder *config.Holder, sockets Sockets) (*Entry, error) {
-	security, err := peer.NewSecurity(secret, s.TLS)
+// StartEntry starts an entry node; sockets may be nil. Errors are *ListenError
+// or of the settings.
+func StartEntry(s *settings.Entry, secret peer.Secret, sockets Sockets) (*Entry, error) {
+	c, err := newCore(&s.Node, secret, "entry", s.Name, membership.KindEntry)
 	if err != nil {
 		return nil, err
 	}
 	budget, err := retry.NewBudget(retryBudget)
 	if err != nil {
-		return nil, err
+		return nil, errors.WithStack(err)
 	}
-	suspects, err := quarantine.NewList(quarantineBounds)
+	limiter, err := quota.New(quotaPeriods, newRandom())
 	if err != nil {
-		return nil, err
+		return nil, errors.WithStack(err)
 	}
-	decisions := decision.NewLog(decisionsKept)
-	pool := agentconn.NewPool(security)
-	dispatcher := dispatch.New(router.New(router.Options{
-		Config: holder, Prober: pool, Members: noMembers{},
+	pool := agentconn.NewPool(c.security)
+	routes := router.New(router.Options{
+		Config: c.holder, Prober: pool, Members: c,
 		View: picker.Viewpoint{FailureDomain: s.FailureDomain, Region: s.Region},
-	}), pool, retryPolicy, budget, suspects, decisions)
+	})
+	dispatcher := dispatch.New(routes, pool, retryPolicy, budget, c.suspects, c.decisions)
 	front := entry.New(entry.Options{
-		Config: holder, Dispatcher: dispatcher, Readiness: holderReady{}, Limits: s.Limits, DebugVars: s.DebugVars,
+		Config: c.holder, Dispatcher: dispatcher, Limiter: limiter, Readiness: c, Limits: s.Limits, DebugVars: s.DebugVars,
 	})
-	n := &Entry{entry: front, pool: pool}
-	service := &service{name: s.Name, role: "entry", failureDomain: s.FailureDomain, holder: holder, suspects: suspects, decisions: decisions, inFlight: front.InFlight}
-	if err := n.listen(s, security, service, sockets); err != nil {
-		n.close()
+	n := &Entry{core: c, entry: front, pool: pool}
+	if err := n.start(s, limiter, sockets); err != nil {
+		n.core.close()
 		return nil, err
 	}
 	return n, nil
 }
 
-func (n *Entry) listen(s *settings.Entry, security *peer.Security, service *service, sockets Sockets) error {
-	operators, err := sockets.guarded("operators", s.Operators, security, service.handler())
-	if err != nil {
+func (n *Entry) start(s *settings.Entry, limiter *quota.Limiter, sockets Sockets) error {
+	service := &service{core: n.core, inFlight: n.entry.InFlight}
+	if err := n.core.start(sockets, service, func(*http.ServeMux) {}); err != nil {
 		return err
 	}
-	n.listeners = append(n.listeners, operators)
 	callers, err := sockets.listen("callers", s.Callers, n.entry.Server(), plain)
 	if err != nil {
 		return err
 	}
-	n.listeners = append(n.listeners, callers)
+	n.core.listeners = append(n.core.listeners, callers)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := n.core.cancel
+	n.core.cancel = func() {
+		cancel()
+		end()
+	}
+	n.core.duty(ctx, (&demandReporter{core: n.core, limiter: limiter}).run)
 	return nil
 }
 
+// Ready returns "" when the node may serve, else the reason why not.
+func (n *Entry) Ready() string { return n.core.Ready() }
+
 // Stop refuses new requests as not run, waits for those in flight, and then
 // ends the node. ctx bounds the wait.
 func (n *Entry) Stop(ctx context.Context) error {
+	n.core.members.Leave()
 	err := n.entry.Drain(ctx)
-	n.close()
+	n.pool.Close()
+	n.core.close()
 	return err
 }
 
-func (n *Entry) close() {
-	n.pool.Close()
-	for _, l := range n.listeners {
-		l.close()
-	}
-}
+// Abort ends the node at once, as the death of its process does.
+func (n *Entry) Abort() { n.core.abort() }
 
 // operatorsMux serves the operators' calls and the node's figures.
 func operatorsMux(service cyclamenpointv1connect.NodeServiceHandler) http.Handler {
@@ -120,14 +133,19 @@
 	return mux
 }
 
-// noMembers knows nothing of the endpoints.
-type noMembers struct{}
-
-// States implements router.Members.
-func (noMembers) States() map[string]picker.State { return make(map[string]picker.State) }
-
-// holderReady is ready as soon as there is a configuration.
-type holderReady struct{}
+// waitReady returns once the node has a configuration, or when ctx ends.
+func (c *core) waitReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for c.Ready() != "" || c.holder.Current() == nil {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for a configuration: "+c.Ready())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
 
-// Ready implements entry.Readiness.
-func (holderReady) Ready() string { return "" }
+// readyPoll is how often a starting node looks whether it may serve.
+const readyPoll = 20 * time.Millisecond
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -150,19 +150,23 @@
 			MaxReceiveBufferPerConnection: connectionWindow,
 		},
 	}
-	return &Transport{base: base, secret: s.secret}
+	return &Transport{base: base, secret: s.secret, tls: s.client != nil}
 }
 
 // Transport sends requests to peers. It is safe for many goroutines.
 type Transport struct {
 	base   *http.Transport
 	secret Secret
+	tls    bool
 }
 
-// RoundTrip sends one request with the secret.
+// RoundTrip sends one request with the secret, by TLS where that is set up.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	out := r.Clone(r.Context())
 	out.Header.Set(secretHeader, t.secret.value)
+	if t.tls {
+		out.URL.Scheme = "https"
+	}
 	return t.base.RoundTrip(out)
 }
 
