--- a/admission/history_test.go
+++ b/admission/history_test.go
@@ -241,6 +241,15 @@
 	return best
 }
 
+// TestWaitBound: each wait falls under the smallest bound that holds it.
+func TestWaitBound(t *testing.T) {
+	for wait, bound := range map[time.Duration]time.Duration{
+		0: 1, time.Millisecond: 1, time.Millisecond + 1: 4, 15 * time.Millisecond: 16, 24 * time.Hour: 1 << 20,
+	} {
+		assert.Equal(t, waitBound(wait), bound*time.Millisecond)
+	}
+}
+
 func BenchmarkRefuse(b *testing.B) {
 	q, _ := New(Config{Slots: 1, Queue: 380, CostTime: time.Second})
 	for i := range 380 {
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -71,14 +71,17 @@
 	if t.Cost <= 0 {
 		t.Cost = 1
 	}
+	arrived := time.Now()
 	w, err := q.admit(ctx, &t)
 	if err != nil {
+		countRefusal(err.(*RefusedError).Reason)
 		klog.Infof("admission: refused request %s of %s at %s: %s",
 			t.Request, t.Organisation, q.cfg.Endpoint, err.(*RefusedError).Reason)
 		return nil, err
 	}
 	klog.Infof("admission: started request %s of %s at %s", t.Request, t.Organisation, q.cfg.Endpoint)
 	started := time.Now()
+	countWait(started.Sub(arrived))
 	var once sync.Once
 	return func() { once.Do(func() { q.release(w, time.Since(started), ctx.Err() == nil) }) }, nil
 }
--- a/attempt/ledger.go
+++ b/attempt/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"expvar"
 	"sync"
 	"time"
 
@@ -16,6 +17,10 @@
 	DefaultCapacity = 65536
 )
 
+// counts are the counters of all ledgers of the process: "taken", "rejected "
+// with the reason, "revoked " with the outcome.
+var counts = expvar.NewMap("attempt")
+
 // Config bounds a ledger.
 type Config struct {
 	// Incarnation identifies this run of the agent. Two runs of an agent never
@@ -83,9 +88,11 @@
 	l.expire()
 	a, err := l.arrive(id, addr)
 	if err != nil {
+		counts.Add("rejected "+err.Reason.String(), 1)
 		klog.Infof("attempt: rejected %s: %s, proof %d", id, err.Reason, err.Proof)
 		return nil, err
 	}
+	counts.Add("taken", 1)
 	return a, nil
 }
 
@@ -119,6 +126,7 @@
 	defer l.mu.Unlock()
 	l.expire()
 	out := l.revoke(id, addr)
+	counts.Add("revoked "+out.String(), 1)
 	klog.Infof("attempt: revoke %s: %s", id, out)
 	return out
 }
--- a/quarantine/expire.go
+++ b/quarantine/expire.go
@@ -60,11 +60,13 @@
 func logChanges(before, after map[Fingerprint]State) {
 	for fp, s := range after {
 		if before[fp] != s {
+			counts.Add("became "+s.String(), 1)
 			klog.Infof("quarantine: content %s is %s", fp, s)
 		}
 	}
 	for fp := range before {
 		if after[fp] == Clean {
+			counts.Add("became "+Clean.String(), 1)
 			klog.Infof("quarantine: content %s is %s", fp, Clean)
 		}
 	}
--- a/quarantine/gate.go
+++ b/quarantine/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"maps"
 	"slices"
 	"sync"
@@ -14,6 +15,10 @@
 // flight: the agent may see a broken stream before it sees the crash.
 const linger = 5 * time.Second
 
+// counts are the counters of all lists and gates of the process: "crashes" that
+// were seen here, "refused " with the reason, "became " with the state.
+var counts = expvar.NewMap("quarantine")
+
 // Ending says how a run ended.
 type Ending int
 
@@ -185,6 +190,7 @@
 }
 
 func (g *Gate) refused(fp Fingerprint, r Reason) error {
+	counts.Add("refused "+r.String(), 1)
 	klog.Infof("quarantine: refused content %s at %s: %s", fp, g.endpoint, r)
 	return &RefusedError{Fingerprint: fp, Reason: r, Remaining: g.list.remaining(fp)}
 }
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -105,6 +105,7 @@
 
 // Record adds a crash that this node saw.
 func (l *List) Record(id CrashID, fps []Fingerprint) {
+	counts.Add("crashes", 1)
 	klog.Infof("quarantine: crash %s with %d requests in flight: %s", id, len(fps), join(fps))
 	l.Merge(News{Crashes: []Crash{{ID: id, Fingerprints: fps, Remaining: l.cfg.Keep}}})
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,6 +25,10 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// counts are the counters of all limiters of the process: "admitted", and
+// "refused " with the kind of limit.
+var counts = expvar.NewMap("quota")
+
 // Config holds a limiter's periods.
 type Config struct {
 	// Window is the time constant of the measured demand.
@@ -82,10 +87,12 @@
 	err := l.admit(organisation, limits, tokens)
 	l.mu.Unlock()
 	if err != nil {
+		counts.Add("refused "+err.Kind.String(), 1)
 		klog.Infof("quota: refused a request of %s: %s %g, retry after %v",
 			organisation, err.Kind, err.Limit, err.RetryAfter)
 		return nil, err
 	}
+	counts.Add("admitted", 1)
 	return &Grant{limiter: l, organisation: organisation, expected: tokens}, nil
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -4,6 +4,7 @@
 package retry
 
 import (
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -22,6 +23,9 @@
 	DefaultCap = time.Second
 )
 
+// counts are the decisions of all policies of the process, by reason.
+var counts = expvar.NewMap("retry")
+
 // Policy holds the bounds of retries. It is immutable and safe for concurrent
 // use.
 type Policy struct {
@@ -143,8 +147,9 @@
 func (p Policy) Next(b *Budget, organisation string, f Failure, rng *rand.Rand) Decision {
 	d := p.Decide(f, rng)
 	if d.Retry && !b.Take(organisation) {
-		return Decision{Reason: ReasonBudget}
+		d = Decision{Reason: ReasonBudget}
 	}
+	counts.Add(d.Reason.String(), 1)
 	return d
 }
 
