--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -15,8 +15,10 @@
 // Peers is what a Follower needs of the membership. All methods may be called
 // concurrently; Announce and Census must not block.
 type Peers interface {
-	// Announce spreads what this node holds and whether it is ready. Peers
-	// that hear of it tell their own Follower through Heard.
+	// Announce tells some peers what this node holds and whether it is ready;
+	// they tell their own Follower through Heard. It need not reach all peers,
+	// nor all those that it is sent to: the Follower repeats it after news, and
+	// each peer announces in turn.
 	Announce(held Digest, ready bool)
 	// Census tells what is known of the peers, and how many hold d or newer.
 	Census(d Digest) Census
@@ -66,6 +68,9 @@
 	checkSlowly = 500 * time.Millisecond
 	busyFor     = 5 * time.Second
 	idleCheck   = 2 * time.Second
+	// repeatEvery is the time between the repeats of an announcement.
+	repeatEvery = 250 * time.Millisecond
+	repeats     = 10
 	// confirmsPerSecond bounds the transactions by which all nodes together
 	// confirm what they read when all of them start at once.
 	confirmsPerSecond = 250
@@ -123,7 +128,11 @@
 	begun time.Time
 	news  time.Time
 	// byPeer is set when a peer, not the table, told of the wanted version.
-	byPeer    bool
+	byPeer bool
+	// announced counts the repeats of the newest announcement; the next one is
+	// due at repeatAt.
+	announced int
+	repeatAt  time.Time
 	start     start
 	etag      string
 	fetchAt   time.Time
@@ -205,7 +214,7 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.begun = time.Now()
-	f.news = f.begun
+	f.news, f.announced = f.begun, repeats
 	f.confirmAt = f.begun.Add(f.settings.Grace + f.turn())
 	poll := time.NewTimer(0)
 	defer poll.Stop()
@@ -236,7 +245,7 @@
 // nextCheck returns when to look again without being told anything.
 func (f *Follower) nextCheck() time.Duration {
 	s := f.Status()
-	busy := s.Ready != nil || s.Wanted != s.Held && s.Wanted != s.Refused || s.Held != s.InForce
+	busy := s.Ready != nil || f.announced < repeats || s.Wanted != s.Held && s.Wanted != s.Refused || s.Held != s.InForce
 	switch {
 	case !busy:
 		return idleCheck
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -44,6 +44,7 @@
 	}
 	f.promote(known, census)
 	f.report(known, census)
+	f.repeat()
 }
 
 // confirm asks the table by a transaction whether the version that was read is
@@ -87,7 +88,26 @@
 		st.Held = s.Wanted
 		st.Bodies++
 	})
-	f.peers.Announce(s.Wanted, s.Ready == nil)
+	f.announce()
+}
+
+// announce tells peers what this node holds, and sets the repeats.
+func (f *Follower) announce() {
+	s := f.Status()
+	f.peers.Announce(s.Held, s.Ready == nil)
+	f.announced, f.repeatAt = 0, time.Now().Add(repeatEvery)
+}
+
+// repeat announces again when it is due. Each peer then misses the news only if
+// several random choices miss it.
+func (f *Follower) repeat() {
+	if f.announced >= repeats || time.Now().Before(f.repeatAt) {
+		return
+	}
+	s := f.Status()
+	f.peers.Announce(s.Held, s.Ready == nil)
+	f.announced++
+	f.repeatAt = time.Now().Add(repeatEvery)
 }
 
 // fetch gets a body from a peer if one is known to hold it, or else from the
@@ -146,7 +166,7 @@
 	}
 	f.note(func(s *Status) { s.Source, s.Ready = known, ready })
 	if before.Ready != nil && ready == nil {
-		f.peers.Announce(before.Held, true)
+		f.announce()
 	}
 }
 
