Let a runner mark a claim's outcome as unknown

Cause: a run that the endpoint broke off stayed open in its ledger, so that later calls waited for it and open claims filled up; found when the agent was joined to the ledger.

--- a/claim/existing.go
+++ b/claim/existing.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Decision{}, false, UnreadableError{Key: c.Key, Reason: err.Error()}
 	}
-	if rec.State == StateRunning {
+	if rec.State == StateRunning || rec.State == StateUnknown {
 		return Decision{}, false, l.inFlight(ctx, c, rec, read)
 	}
 	l.known.Add(row, rec)
@@ -53,6 +53,9 @@
 		return KeyConflictError{Key: c.Key}
 	}
 	unknown := UnknownError{Key: c.Key, Runner: rec.Runner, Incarnation: rec.Incarnation, Since: rec.Since}
+	if rec.State == StateUnknown {
+		return unknown
+	}
 	gone, err := vanished(ctx, l.counted(), rec.Runner, rec.Incarnation)
 	if err != nil {
 		return UnreadableError{Key: c.Key, Reason: err.Error()}
--- a/claim/flusher.go
+++ b/claim/flusher.go
@@ -20,13 +20,14 @@
 	itemClaim kind = iota
 	itemDone
 	itemAbandon
+	itemUnknown
 )
 
 // item is one change of a claim that waits to be written.
 type item struct {
 	kind  kind
 	entry *entry
-	// record is the finished claim of itemDone.
+	// record is what itemDone and itemUnknown write.
 	record record
 	// settled is set when the item needs no more writing: its effect is
 	// durable, or the claim was refused.
@@ -315,7 +316,8 @@
 func (f *flusher) operations(v variant) []table.Op {
 	l := f.ledger
 	open := maps.Clone(f.open)
-	ops := make([]table.Op, 1, len(v.items)+2)
+	var unknown []string
+	ops := make([]table.Op, 1, len(v.items)+3)
 	for _, it := range v.items {
 		ops = append(ops, it.operation())
 		if it.kind == itemClaim {
@@ -323,12 +325,20 @@
 		} else {
 			delete(open, it.entry.row)
 		}
+		if it.kind == itemUnknown {
+			unknown = append(unknown, it.entry.row)
+		}
 	}
 	rec := runnerRecord{
 		Runner: l.settings.Runner, Incarnation: l.incarnation, Nonce: l.settings.Nonce,
 		Flush: v.number, Open: slices.Sorted(maps.Keys(open)),
 	}
 	ops[0] = table.Replace(runnerKey(l.settings.Runner), encode(rec), f.etag)
+	if len(unknown) > 0 {
+		key := unknownKey(l.settings.Runner, l.incarnation, v.number)
+		left := vanishedRecord{Runner: l.settings.Runner, Incarnation: l.incarnation, Open: unknown}
+		ops = append(ops, table.Op{Kind: table.KindPut, Key: key, Value: encode(left)})
+	}
 	if len(v.expiring) > 0 {
 		at := time.Now().Add(l.settings.KeepClaim)
 		key := expiryKey(at, l.settings.Runner, l.incarnation, v.number)
@@ -343,7 +353,7 @@
 	switch it.kind {
 	case itemClaim:
 		return table.Create(e.row, encode(running(e.claim, e.token)))
-	case itemDone:
+	case itemDone, itemUnknown:
 		return table.Replace(e.row, encode(it.record), e.etag)
 	}
 	return table.Delete(e.row, e.etag)
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -32,6 +32,8 @@
 	// cancelled is set when the caller of Begin has given up.
 	cancelled bool
 	waiters   int
+	// unknown is set when the run was given up.
+	unknown bool
 	// ready is closed when the claim's fate is known.
 	ready chan struct{}
 	fate  error
@@ -288,6 +290,9 @@
 		return Decision{Replay: e.answer}, false, nil
 	}
 	busy := InFlightError{Key: c.Key, Runner: l.settings.Runner, Incarnation: l.incarnation, Since: e.token.Since}
+	if e.unknown {
+		return Decision{}, false, UnknownError(busy)
+	}
 	if e.waiters >= l.settings.MaxWaiters {
 		return Decision{}, false, busy
 	}
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -218,6 +219,43 @@
 	})
 }
 
+func TestBrokenRunIsUnknownToAll(t *testing.T) {
+	virtually(t, func(s *site) {
+		a, stopA := s.open("a", func(s *Settings) { s.MaxOpen = 1 })
+		defer stopA()
+		b, stopB := s.open("b", nil)
+		defer stopB()
+		d, err := a.Begin(context.Background(), keyed("k", "b"))
+		assert.NilError(t, err)
+		var calls sync.WaitGroup
+		calls.Go(func() {
+			_, err := a.Begin(context.Background(), keyed("k", "b"))
+			assert.Check(t, errors.As(err, new(UnknownError)), "a waiting call: %v", err)
+		})
+		synctest.Wait()
+		assert.NilError(t, a.MarkUnknown(*d.Run, "test"))
+		calls.Wait()
+		time.Sleep(time.Second)
+		for _, l := range []*Ledger{a, b} {
+			_, err = l.Begin(context.Background(), keyed("k", "b"))
+			assert.ErrorType(t, err, UnknownError{})
+		}
+		d, err = a.Begin(context.Background(), keyed("other", "b"))
+		assert.NilError(t, err, "it takes no room")
+		assert.NilError(t, a.Finish(*d.Run, Answer{}))
+		time.Sleep(time.Second)
+		open, err := NewOperator(s.store, 0).List(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, len(open), 1)
+		assert.Equal(t, open[0].State, StateUnknown)
+		time.Sleep(DefaultMaxRun + DefaultStartWithin)
+		assert.NilError(t, NewOperator(s.store, 0).Resolve(context.Background(), open[0].Row, VerdictNotRun))
+		d, err = b.Begin(context.Background(), keyed("k", "b"))
+		assert.NilError(t, err)
+		assert.Assert(t, d.Run != nil)
+	})
+}
+
 func TestRunnerWithoutSuccessorIsFoundByWatching(t *testing.T) {
 	virtually(t, func(s *site) {
 		dead, stopDead := s.open("a", nil)
--- a/claim/operate.go
+++ b/claim/operate.go
@@ -18,7 +18,8 @@
 type Open struct {
 	// Row identifies the claim to Resolve.
 	Row string
-	// State is StateRunning, or StateUnknown when the runner has vanished.
+	// State is StateRunning, or StateUnknown when the runner has vanished or
+	// gave the run up.
 	State        State
 	Organisation string
 	Route        string
@@ -151,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	if open.State != StateUnknown || rec.State != StateRunning {
+	if open.State != StateUnknown {
 		return NotUnknownError{Row: key, State: open.State}
 	}
 	if until := rec.Since.Add(o.maxRun + DefaultStartWithin); time.Now().Before(until) {
--- a/claim/record.go
+++ b/claim/record.go
@@ -14,8 +14,8 @@
 // State is the state of a claim.
 type State string
 
-// The states. StateUnknown is never stored: a running claim is of unknown
-// outcome once its runner has a newer incarnation.
+// The states. A running claim is also of unknown outcome once its runner has a
+// newer incarnation.
 const (
 	StateRunning  State = "running"
 	StateDone     State = "done"
@@ -67,7 +67,8 @@
 	Open []string `json:"open,omitempty"`
 }
 
-// vanishedRecord lists the claims that an incarnation left behind.
+// vanishedRecord lists claims whose outcome an incarnation does not know, or
+// which it left behind.
 type vanishedRecord struct {
 	Runner      string   `json:"runner"`
 	Incarnation uint64   `json:"incarnation"`
@@ -104,6 +105,12 @@
 	return fmt.Sprintf("%s%s/%020d", vanishedPrefix, url.PathEscape(runner), incarnation)
 }
 
+// unknownKey returns the key of the row that lists the claims which a live
+// incarnation marked by one write as of unknown outcome.
+func unknownKey(runner string, incarnation, flush uint64) string {
+	return fmt.Sprintf("%s/%020d", vanishedKey(runner, incarnation), flush)
+}
+
 // expiryKey returns the key of an expiry row; keys sort by hour.
 func expiryKey(at time.Time, runner string, incarnation, flush uint64) string {
 	return fmt.Sprintf("%s%012d/%s/%d-%d",
--- a/claim/run.go
+++ b/claim/run.go
@@ -91,3 +91,23 @@
 	l.queue <- &item{kind: itemAbandon, entry: e}
 	return nil
 }
+
+// MarkUnknown gives a run up whose effect can't be known, such as when the
+// endpoint broke off. The key never runs again by itself; an operator can
+// resolve it. Errors: StaleTokenError.
+func (l *Ledger) MarkUnknown(t Token, reason string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, err := l.run(t)
+	if err != nil {
+		return err
+	}
+	klog.Warningf("claim: outcome unknown of key %q of %s, token %d-%d: %s",
+		e.claim.Key, e.claim.Organisation, t.Incarnation, t.Sequence, reason)
+	e.phase, e.unknown = phaseEnding, true
+	close(e.ended)
+	rec := running(e.claim, e.token)
+	rec.State = StateUnknown
+	l.queue <- &item{kind: itemUnknown, entry: e, record: rec}
+	return nil
+}
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -253,8 +253,9 @@
 	if rec.owns(e.token) && rec.State == StateDone {
 		etag = row.ETag
 	}
-	if it.kind == itemDone && etag == "" {
-		klog.Errorf("claim: answer of key %q of %s not recorded, the claim is %q now",
+	lost := it.kind == itemDone && etag == "" || it.kind == itemUnknown && !rec.owns(e.token)
+	if lost {
+		klog.Errorf("claim: end of key %q of %s not recorded, the claim is %q now",
 			e.claim.Key, e.claim.Organisation, rec.State)
 	}
 	f.ledger.mu.Lock()
