Push news of live members less often once it comes back

A mass start of 950 processes cost each node 33.6 KB/s over its first minute: each process pushed each of 950 records six times. A record of a live member that comes back now counts as a round of pushes. go test -run Measure -v ./membership, 950 processes: start 33,584 to 17,971 B/s a node, changes 6,384 to 6,325 B/s, dead processes p99 1.4 s to 1.35 s. With ill and leaving members treated alike the p99 at 256 rose from 1.25 s to 2.85 s, so these are exempt.

--- a/membership/table.go
+++ b/membership/table.go
@@ -98,6 +98,7 @@
 	if old := t.members[r.Name]; old != nil {
 		next = Merge(old.Record, r)
 		if next == old.Record {
+			t.heardAgain(r)
 			return false
 		}
 	}
@@ -106,6 +107,20 @@
 	return true
 }
 
+// heardAgain counts a round of pushes less for the news of a live member that
+// comes back: others spread it already. Other news is too urgent for that.
+func (t *Table) heardAgain(r Record) {
+	left, ok := t.news[r.Name]
+	if !ok || t.members[r.Name].Record != r || r.Health != Alive || r.Leaving {
+		return
+	}
+	if left <= 1 {
+		delete(t.news, r.Name)
+		return
+	}
+	t.news[r.Name] = left - 1
+}
+
 func (t *Table) applySelf(r Record, now time.Time) bool {
 	next := t.self
 	switch {
