--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -32,9 +32,11 @@
 	// Margin is how many steps before the switching step the coordinator
 	// withdraws a proposal that has not all votes.
 	Margin uint64
-	// SilentTicks is how many ticks a member may leave without a report before
-	// it is noted as silent. Zero turns the note off.
-	SilentTicks int
+	// InquireTicks is how many ticks pass between two rounds of inquiries.
+	InquireTicks int
+	// SilentRounds is how many rounds a member may leave without a report
+	// before it is noted as silent. Zero turns the note off.
+	SilentRounds int
 }
 
 // Coordinator leads the group while its agent holds the lease. It keeps one
@@ -60,7 +62,9 @@
 	wanted   WantMembers
 	// formedEpoch is the newest epoch that all members run in, as told to this leader.
 	formedEpoch uint64
-	// fresh holds the ranks that reported since the last tick.
+	// waited counts the ticks since the last round of inquiries.
+	waited int
+	// fresh holds the ranks that reported since then.
 	fresh RankSet
 	// done holds the ranks that voted, applied or formed in this phase.
 	done     RankSet
@@ -89,9 +93,7 @@
 	case Lapsed:
 		return c.stepDown(ReasonLeaseLost)
 	case WantMap:
-		if ev.Version > c.target.Version {
-			c.target = ev.Map
-		}
+		return c.wantMap(ev.Map)
 	case WantMembers:
 		return c.wantMembers(ev)
 	case Received:
@@ -135,6 +137,17 @@
 	return []Action{Note{Decision: SteppedDown, Proposal: Proposal{ID: ID{Token: c.token}}, Peer: c.rank, Reason: reason}}
 }
 
+func (c *Coordinator) wantMap(m Map) []Action {
+	if m.Version <= c.target.Version {
+		return nil
+	}
+	c.target = m
+	if c.phase != Leading {
+		return nil
+	}
+	return c.lead()
+}
+
 // wantMembers leaves a proposal in flight behind: the new epoch voids it.
 func (c *Coordinator) wantMembers(ev WantMembers) []Action {
 	c.wanted = ev
--- a/mapswitch/lead.go
+++ b/mapswitch/lead.go
@@ -6,7 +6,7 @@
 	if c.wanted.Members.Len() > 0 {
 		members, load = c.wanted.Members, c.wanted.Map
 	}
-	c.fresh = RankSet{}
+	c.fresh, c.waited = RankSet{}, 0
 	var actions []Action
 	for r := range members.All() {
 		ask := Inquire{Token: c.token, Epoch: c.record.Epoch, Load: load}
@@ -172,7 +172,7 @@
 	case Forming:
 		return c.sendForm()
 	case Leading:
-		return append(c.countSilence(), c.lead()...)
+		return c.tickLeading()
 	case Voting:
 		return c.tickVoting()
 	case Deciding:
@@ -181,6 +181,14 @@
 	return nil
 }
 
+func (c *Coordinator) tickLeading() []Action {
+	if c.waited+1 < c.limits.InquireTicks {
+		c.waited++
+		return nil
+	}
+	return append(c.countSilence(), c.lead()...)
+}
+
 // tickVoting repeats the proposal, or withdraws it shortly before the switching
 // step so that no engine waits there for a member that does not answer.
 func (c *Coordinator) tickVoting() []Action {
@@ -191,14 +199,14 @@
 }
 
 func (c *Coordinator) countSilence() []Action {
-	if c.limits.SilentTicks == 0 {
+	if c.limits.SilentRounds == 0 {
 		return nil
 	}
 	var notes []Action
 	for r := range c.record.Members.All() {
 		known := c.peer(r)
 		known.silent++
-		if known.silent == c.limits.SilentTicks {
+		if known.silent == c.limits.SilentRounds {
 			notes = append(notes, Note{RankSilent, c.subject(), r, ReasonSilent})
 		}
 		c.learn(r, known)
--- a/mapswitch/participant.go
+++ b/mapswitch/participant.go
@@ -25,6 +25,8 @@
 	ready      Ref
 	loading    Ref
 	loadSeq    uint64
+	// reportTo is the rank that asked for the load.
+	reportTo Rank
 	// bound is the proposal that the agent voted for, while undecided.
 	bound Proposal
 	yes   RankSet
@@ -146,6 +148,7 @@
 	var actions []Action
 	if reason == ReasonNone && p.mayLoad(m.Load.Ref) {
 		actions = p.load(m.Load)
+		p.reportTo = from
 	}
 	return append(actions, Send{from, p.report(reason)})
 }
@@ -179,7 +182,7 @@
 	if p.forming.Epoch > p.epoch && p.loaded(p.forming.Map) {
 		return p.enter(p.forming)
 	}
-	return nil
+	return []Action{Send{p.reportTo, p.report(ReasonNone)}}
 }
 
 func (p *Participant) propose(from Rank, m Propose) []Action {
@@ -323,54 +326,6 @@
 	}
 }
 
-func (p *Participant) form(from Rank, m Form) []Action {
-	if reason := p.formRefusal(m); reason != ReasonNone {
-		return []Action{Send{from, p.report(reason)}}
-	}
-	if m.Record.Epoch == p.epoch {
-		return []Action{Send{from, Formed{m.Token, p.epoch}}}
-	}
-	if p.loaded(m.Record.Map) {
-		return append(p.enter(m.Record), Send{from, Formed{m.Token, p.epoch}})
-	}
-	p.forming = m.Record
-	if p.loading == m.Record.Map {
-		return nil
-	}
-	leave := OrderLeave{p.token, p.epoch}
-	return append([]Action{leave}, p.load(Map{Ref: m.Record.Map, Data: m.Data})...)
-}
-
-func (p *Participant) formRefusal(m Form) Reason {
-	if reason := p.admit(m.Token); reason != ReasonNone {
-		return reason
-	}
-	engine, ok := m.Record.Engine(p.rank)
-	switch {
-	case m.Record.Epoch < max(p.epoch, p.forming.Epoch):
-		return ReasonOtherEpoch
-	case !ok:
-		return ReasonOtherMembers
-	case engine != p.engine:
-		return ReasonOtherEngine
-	}
-	return ReasonNone
-}
-
-// enter leaves the old epoch with whatever was undecided in it.
-func (p *Participant) enter(rec Record) []Action {
-	p.epoch, p.members, p.forming = rec.Epoch, rec.Members, Record{}
-	if p.inForce != rec.Map {
-		p.inForce, p.ready = rec.Map, Ref{}
-	}
-	p.bound, p.switched, p.step = Proposal{}, Proposal{}, 0
-	prop := Proposal{Epoch: rec.Epoch, Members: rec.Members, Map: rec.Map}
-	return []Action{
-		OrderForm{p.token, rec},
-		Note{NewEpoch, prop, p.rank, ReasonMembersChanged},
-	}
-}
-
 func (p *Participant) tick(step uint64) []Action {
 	p.step = step
 	if !p.isBound() {
