--- a/internal/measure/placement/day/day_test.go
+++ b/internal/measure/placement/day/day_test.go
@@ -51,7 +51,7 @@
 
 // TestTargets runs some hours of each shape that changes and holds both
 // deployments to their targets. The static map shows that the skew target can
-// be missed, and the full re-solve that the bytes can.
+// be missed.
 func TestTargets(t *testing.T) {
 	for _, c := range []struct {
 		shape  drift.Shape
@@ -73,7 +73,7 @@
 			assert.Assert(t, 2*bySkew.bytes <= full.bytes, "skew-weighted: %d of %d bytes", bySkew.bytes, full.bytes)
 			assert.Assert(t, byMove.p95 < 1.25, "move-weighted: p95 %.3f", byMove.p95)
 			assert.Assert(t, 5*byMove.bytes <= full.bytes, "move-weighted: %d of %d bytes", byMove.bytes, full.bytes)
-			assert.Assert(t, static.p95 > 1.05 && 2*full.bytes > full.bytes)
+			assert.Assert(t, static.p95 > 1.05, "the static map meets the target too")
 		})
 	}
 }
--- a/internal/measure/placement/day/deciders.go
+++ b/internal/measure/placement/day/deciders.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/drift"
 	"github.com/cyclamenpoint/cyclamenpoint/internal/measure/placement/naive"
 	"github.com/cyclamenpoint/cyclamenpoint/placement"
 )
@@ -61,6 +62,22 @@
 	return naive.Resolve(in.Loaded, in.Loads.Share, alive(in.Ranks)), rate, nil
 }
 
+// Foreknown decides by the product's policy with the true shares, without noise,
+// of some time ahead. No forecast does better.
+type Foreknown struct {
+	Local
+	Demand *drift.Demand
+	Ahead  time.Duration
+}
+
+// Decide implements Decider.
+func (f Foreknown) Decide(in placement.Input, at time.Duration) (expertmap.Map, float64, error) {
+	n := f.Demand.Layers * f.Demand.Experts
+	in.Loads = placement.Loads{Share: make([]float64, n), Variance: make([]float64, n), Windows: 1}
+	f.Demand.Expected(at+f.Ahead, in.Loads.Share)
+	return f.Local.Decide(in, at)
+}
+
 func alive(ranks []placement.Rank) []bool {
 	out := make([]bool, len(ranks))
 	for i, r := range ranks {
--- a/internal/measure/placement/drift/drift.go
+++ b/internal/measure/placement/drift/drift.go
@@ -148,6 +148,13 @@
 	d.at += Window
 }
 
+// Expected writes the expected shares of a moment, without sampling noise. It is
+// of no use for the Noise shape and moves d to that moment.
+func (d *Demand) Expected(at time.Duration, out []float64) {
+	d.at = at
+	d.shares(out)
+}
+
 // shares writes the expected shares of the window.
 func (d *Demand) shares(out []float64) {
 	mix := d.mix()
--- a/internal/measure/placement/main.go
+++ b/internal/measure/placement/main.go
@@ -13,11 +13,12 @@
 
 // options are the command line.
 type options struct {
-	Small   bool   `long:"small" description:"run the days of 16 ranks and 64 experts"`
-	Large   bool   `long:"large" description:"run the days of 32 ranks, 128 experts and 60 layers"`
-	Outage  bool   `long:"outage" description:"run the day with an outage of the weight store"`
-	Plot    string `long:"plot" description:"draw the trade-off curve into this SVG file"`
-	Workers int    `long:"workers" default:"3" description:"simulated days to run at once"`
+	Small    bool   `long:"small" description:"run the days of 16 ranks and 64 experts"`
+	Large    bool   `long:"large" description:"run the days of 32 ranks, 128 experts and 60 layers"`
+	Forecast bool   `long:"forecast" description:"run days with shares that are known ahead"`
+	Outage   bool   `long:"outage" description:"run the day with an outage of the weight store"`
+	Plot     string `long:"plot" description:"draw the trade-off curve into this SVG file"`
+	Workers  int    `long:"workers" default:"3" description:"simulated days to run at once"`
 }
 
 func main() {
@@ -49,6 +50,11 @@
 			return err
 		}
 	}
+	if o.Forecast {
+		if err := forecast(os.Stdout, o.Workers); err != nil {
+			return err
+		}
+	}
 	if o.Plot != "" {
 		return tradeOff(os.Stdout, o.Plot, o.Workers)
 	}
--- a/internal/measure/placement/runs.go
+++ b/internal/measure/placement/runs.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// foreknown returns the policy that knows the shares of a time ahead.
+func foreknown(o deployment.Objective, shape drift.Shape, ahead time.Duration) func(groupSize) day.Decider {
+	return func(g groupSize) day.Decider {
+		j := job{group: g, shape: shape}
+		return day.Foreknown{
+			Local:  local(o)(g).(day.Local),
+			Demand: drift.New(j.config().Demand),
+			Ahead:  ahead,
+		}
+	}
+}
+
 // job is one simulated day.
 type job struct {
 	group  groupSize
--- a/internal/measure/placement/table.go
+++ b/internal/measure/placement/table.go
@@ -42,6 +42,33 @@
 	return printJobs(w, jobs)
 }
 
+// forecast compares both deployments with ones that know the shares of now and
+// of ten minutes ahead.
+func forecast(w io.Writer, workers int) error {
+	var jobs []*job
+	for _, shape := range []drift.Shape{drift.Slow, drift.Correlated} {
+		for _, way := range ways[len(ways)-2:] {
+			o := skewWeighted
+			if way.target == moveTarget {
+				o = moveWeighted
+			}
+			known, ahead := way, way
+			known.name += ", shares known"
+			known.decide = foreknown(o, shape, 0)
+			ahead.name += ", known 10 min ahead"
+			ahead.decide = foreknown(o, shape, 10*time.Minute)
+			jobs = append(jobs, &job{group: smallGroup, shape: shape, way: way},
+				&job{group: smallGroup, shape: shape, way: known},
+				&job{group: smallGroup, shape: shape, way: ahead})
+		}
+	}
+	if err := run(jobs, workers); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "## Forecast, %s\n\n", smallGroup.name)
+	return printJobs(w, jobs)
+}
+
 const header = `| demand | way | skew p50 | p95 | p99 | over bound p50 | p95 | p99 | GB a day | after 1st hour | changes | after 1st hour | recovery | stopped | in force p95 | decision p50 | p99 |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
 `
--- a/placement/check_test.go
+++ b/placement/check_test.go
@@ -130,18 +130,39 @@
 		var unservable *placement.UnservableError
 		var capacity *expertmap.CapacityError
 		if assertAs(err, &unservable) {
-			assert.Assert(t, unservable.StoreDown == in.Store.Down || !unservable.StoreDown)
+			assert.Equal(t, unservable.StoreDown, in.Store.Down)
+			assert.Assert(t, !servable(in))
 			return
 		}
 		if assertAs(err, &capacity) {
 			return
 		}
 		assert.NilError(t, err)
+		assert.Assert(t, servable(in))
 		assert.Equal(t, check(p, in, d), faults{})
 		assert.Assert(t, d.After.Skew >= d.After.Bound-1e-9)
 	})
 }
 
+// servable reports whether the live ranks can hold every expert at all: by their
+// slots, and during an outage by what they have loaded.
+func servable(in placement.Input) bool {
+	shape := in.InForce.Shape()
+	loaded, alive := in.Loaded, 0
+	for rank, r := range in.Ranks {
+		if !r.Lost {
+			alive++
+		} else if rank < shape.Ranks {
+			loaded = loaded.Without(rank)
+		}
+	}
+	if !in.Store.Down {
+		return alive*shape.Slots >= shape.Experts
+	}
+	loaded, err := loaded.Resize(len(in.Ranks))
+	return err == nil && loaded.Validate() == nil
+}
+
 func TestCheckerFindsPlantedFaults(t *testing.T) {
 	p, in, d := hotExpert(t, 1)
 	assert.Equal(t, check(p, in, d), faults{})
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -152,6 +152,26 @@
 	assert.Equal(t, check(p, in, d), faults{})
 }
 
+// TestReplicasAreSpreadWhereItCostsLittle offers a rank in the failure domain of
+// the hot expert first, and others that are as good.
+func TestReplicasAreSpreadWhereItCostsLittle(t *testing.T) {
+	p, in, _ := hotExpert(t, 0.1)
+	for rank, domain := range []string{"a", "a", "b", "c"} {
+		in.Ranks[rank].FailureDomain = domain
+	}
+	settle(t, p, &in)
+	assert.Assert(t, in.InForce.Replicas(0)[0] > 1)
+	d, err := p.Decide(in)
+	assert.NilError(t, err)
+	assert.Equal(t, d.After.Crowded, 0)
+	for rank := range in.Ranks {
+		in.Ranks[rank].FailureDomain = "a"
+	}
+	d, err = p.Decide(in)
+	assert.NilError(t, err)
+	assert.Assert(t, d.Before.Crowded > 0, "the term can show a shared failure domain")
+}
+
 func TestRankThatLacksWeightsIsAnError(t *testing.T) {
 	p, in, _ := hotExpert(t, 1)
 	in.Loaded = in.Loaded.Without(1)
