--- a/placement/mix.go
+++ b/placement/mix.go
@@ -17,7 +17,7 @@
 	// their variance, from which a window or the fast average shows that the
 	// mix has changed.
 	jumpLimit  = 6
-	driftLimit = 2.5
+	driftLimit = 4
 	// pairWindows is the time between two drifts that shows that the mix is on
 	// the move. A single one may be noise: it refreshes the estimate, but the
 	// layer stays steady.
