--- a/internal/measure/placement/runs.go
+++ b/internal/measure/placement/runs.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -96,7 +98,8 @@
 	result day.Result
 }
 
-// run runs the jobs, some at once, and fills their results in.
+// run runs the jobs, some at once, and fills their results in. It reports each
+// one on the standard error when it is done.
 func run(jobs []*job, workers int) error {
 	var g errgroup.Group
 	g.SetLimit(workers)
@@ -104,6 +107,9 @@
 		g.Go(func() error {
 			var err error
 			j.result, err = day.Run(j.config(), j.way.decide(j.group))
+			if err == nil {
+				fmt.Fprint(os.Stderr, row(j))
+			}
 			return err
 		})
 	}
