--- a/internal/measure/placement/runs.go
+++ b/internal/measure/placement/runs.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -75,6 +77,18 @@
 	}
 }
 
+// foreknown returns the policy that knows the shares of a time ahead.
+func foreknown(o deployment.Objective, shape drift.Shape, ahead time.Duration) func(groupSize) day.Decider {
+	return func(g groupSize) day.Decider {
+		j := job{group: g, shape: shape}
+		return day.Foreknown{
+			Local:  local(o)(g).(day.Local),
+			Demand: drift.New(j.config().Demand),
+			Ahead:  ahead,
+		}
+	}
+}
+
 // job is one simulated day.
 type job struct {
 	group  groupSize
@@ -84,7 +98,8 @@
 	result day.Result
 }
 
-// run runs the jobs, some at once, and fills their results in.
+// run runs the jobs, some at once, and fills their results in. It reports each
+// one on the standard error when it is done.
 func run(jobs []*job, workers int) error {
 	var g errgroup.Group
 	g.SetLimit(workers)
@@ -92,6 +107,9 @@
 		g.Go(func() error {
 			var err error
 			j.result, err = day.Run(j.config(), j.way.decide(j.group))
+			if err == nil {
+				fmt.Fprint(os.Stderr, row(j))
+			}
 			return err
 		})
 	}
