Tell a crash from a slow endpoint, and withdraw what never started

Cause: a slow endpoint made suspects of all that it ran; a restart between two looks was no crash; a dead trial endpoint held its suspects for an hour. Before: a health timeout recorded a crash. Conclusion: suspects go to living endpoints, and a revocation after a dial that failed is answered as not run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,9 @@
 	Claims Claims
 	// Quarantine holds what this node knows of crashes.
 	Quarantine *quarantine.List
+	// Available returns those of the endpoints that are not known to be dead or
+	// leaving, or all of them if none is left.
+	Available func(endpoints []string) []string
 	// Decisions takes the agent's decisions.
 	Decisions *decision.Log
 }
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -93,7 +93,7 @@
 		return a.rejected(out, m, err)
 	}
 	if err := pass.Start(); err != nil {
-		att.Finish(false)
+		att.Withdraw()
 		return a.suspected(out, m, err)
 	}
 	out.started()
@@ -166,16 +166,18 @@
 // run calls the endpoint and tells what became of the call.
 func (a *Agent) run(ctx context.Context, out *sender, m *pb.ExecuteRequest, att *attempt.Attempt) error {
 	err := a.client.Run(ctx, callOf(m), out)
-	att.Finish(err == nil)
 	if err == nil {
+		att.Finish(true)
 		a.note(m, "answered whole.")
 		return out.end(pb.Outcome_OUTCOME_DONE, "")
 	}
 	a.note(m, "failed: %s.", err)
 	var notStarted *engine.NotStartedError
 	if errors.As(err, &notStarted) {
+		att.Withdraw()
 		return out.end(pb.Outcome_OUTCOME_NOT_RUN, err.Error())
 	}
+	att.Finish(false)
 	a.watch.broke(ctx, err)
 	if a.opts.Quarantine.State(quarantine.Fingerprint(m.GetFingerprint())) != quarantine.Clean {
 		out.news = a.news()
--- a/agent/protected.go
+++ b/agent/protected.go
@@ -29,7 +29,7 @@
 func (a *Agent) runProtected(ctx context.Context, out *sender, m *pb.ExecuteRequest, att *attempt.Attempt) error {
 	dec, err := a.begin(ctx, m)
 	if err != nil {
-		att.Finish(false)
+		att.Withdraw()
 		return a.notClaimed(out, m, err)
 	}
 	if dec.Replay != nil {
@@ -39,7 +39,7 @@
 	}
 	token := *dec.Run
 	if err := a.opts.Claims.Start(token); err != nil {
-		att.Finish(false)
+		att.Withdraw()
 		a.abandon(m, token, "the claim was made too long ago")
 		return a.refuse(out, m, pb.RefusalReason_REFUSAL_REASON_STORE_DOWN, 0)
 	}
@@ -80,15 +80,17 @@
 	defer cancel()
 	out.keep = &record{}
 	err := a.client.Run(ctx, callOf(m), out)
-	att.Finish(err == nil)
 	if err == nil {
+		att.Finish(true)
 		return a.claimDone(out, m, token)
 	}
 	var notStarted *engine.NotStartedError
 	if errors.As(err, &notStarted) {
+		att.Withdraw()
 		a.abandon(m, token, err.Error())
 		return out.end(pb.Outcome_OUTCOME_NOT_RUN, err.Error())
 	}
+	att.Finish(false)
 	a.noteClaim(m, "the outcome is unknown: %s.", err)
 	a.watch.broke(ctx, err)
 	return out.end(pb.Outcome_OUTCOME_UNKNOWN, err.Error())
--- a/agent/suspect.go
+++ b/agent/suspect.go
@@ -18,7 +18,8 @@
 	if snap == nil {
 		return false
 	}
-	return a.opts.Quarantine.TrialEndpoint(fp, snap.Deployment.Alike(a.opts.Endpoint)) == a.opts.Endpoint
+	alike := a.opts.Available(snap.Deployment.Alike(a.opts.Endpoint))
+	return a.opts.Quarantine.TrialEndpoint(fp, alike) == a.opts.Endpoint
 }
 
 // hear takes what the entry node knows of crashes.
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -27,10 +27,11 @@
 	gate     *quarantine.Gate
 	endpoint string
 
-	// condition guards failures and down.
+	// condition guards failures, down and boot.
 	condition sync.Mutex
 	failures  int
 	down      bool
+	boot      string
 
 	mu       sync.Mutex
 	prefixes map[uint64]struct{}
@@ -55,10 +56,11 @@
 	}
 }
 
-// health sets the endpoint down after failuresToEnd failures in a row, and up
-// after the first success.
+// health looks at the endpoint. It counts as down after failuresToEnd failures
+// in a row, and as up after the first success. A new boot without a failure in
+// between is a crash, too.
 func (w *watch) health(ctx context.Context) {
-	err := w.client.Health(ctx)
+	h, err := w.client.Health(ctx)
 	if ctx.Err() != nil {
 		return
 	}
@@ -66,12 +68,12 @@
 	defer w.condition.Unlock()
 	if err == nil {
 		w.failures = 0
-		w.up()
+		w.answered(h)
 		return
 	}
 	w.failures++
 	if w.failures >= failuresToEnd {
-		w.crashed(err)
+		w.close(err)
 	}
 }
 
@@ -88,24 +90,42 @@
 	if w.down {
 		return
 	}
-	if err := w.client.Health(ctx); err != nil && ctx.Err() == nil {
-		w.crashed(err)
+	h, err := w.client.Health(ctx)
+	if ctx.Err() != nil {
+		return
 	}
+	if err != nil {
+		w.close(err)
+		return
+	}
+	w.answered(h)
 }
 
-// crashed closes the queue before it records the crash, once for each crash.
-func (w *watch) crashed(reason error) {
+// close closes the queue, once until the endpoint answers again. Silence alone
+// makes no suspects: a slow endpoint has not crashed.
+func (w *watch) close(reason error) {
 	if w.down {
 		return
 	}
 	w.down = true
 	w.queue.SetDown(true)
-	id := w.gate.Crashed()
-	w.forget()
-	klog.Warningf("agent: endpoint %s is down, crash %s: %s.", w.endpoint, id, reason)
+	var slow *engine.SlowError
+	if errors.As(reason, &slow) {
+		klog.Warningf("agent: endpoint %s takes no more work: %s.", w.endpoint, reason)
+		return
+	}
+	w.crashed(reason.Error())
+	w.boot = ""
 }
 
-func (w *watch) up() {
+// answered notes a living endpoint.
+func (w *watch) answered(h engine.Health) {
+	if w.boot != "" && h.Boot != "" && w.boot != h.Boot {
+		w.queue.SetDown(true)
+		w.crashed("it answers as another process")
+		w.down = true
+	}
+	w.boot = h.Boot
 	if !w.down {
 		return
 	}
@@ -114,6 +134,13 @@
 	klog.Infof("agent: endpoint %s is up: it answers.", w.endpoint)
 }
 
+// crashed records a crash. The queue is closed.
+func (w *watch) crashed(reason string) {
+	id := w.gate.Crashed()
+	w.forget()
+	klog.Warningf("agent: endpoint %s crashed, crash %s: %s.", w.endpoint, id, reason)
+}
+
 // events takes the engine's cache events. Those of a plain service fail and
 // leave the set empty.
 func (w *watch) events(ctx context.Context) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -84,6 +84,9 @@
 	// Pick returns an endpoint that is not in tried, or an error that says why
 	// there is none.
 	Pick(ctx context.Context, req *Request, tried []string) (Target, error)
+	// Available returns those of the endpoints that take new work, as far as is
+	// known, or all of them if none is left.
+	Available(endpoints []string) []string
 	// Learn takes what an attempt showed of its endpoint.
 	Learn(target Target, load *pb.ProbeResponse, result Result)
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Terms of a stream.
@@ -191,11 +193,31 @@
 	return p, err
 }
 
-// Health returns nil when the endpoint answers.
-func (c *Client) Health(ctx context.Context) error {
-	return c.getJSON(ctx, "/health", nil)
+// Health is what a living endpoint says of itself.
+type Health struct {
+	// Boot differs in each start of the endpoint; empty when it does not tell.
+	Boot string `json:"boot"`
+}
+
+// Health asks the endpoint whether it lives. Errors are *NotStartedError and
+// *BrokenError when no process answers, *SlowError when it takes too long.
+func (c *Client) Health(ctx context.Context) (Health, error) {
+	var h Health
+	err := c.getJSON(ctx, "/health", &h)
+	if err != nil && errors.Is(err, context.DeadlineExceeded) {
+		return h, &SlowError{Address: c.address}
+	}
+	return h, err
 }
 
+// SlowError tells that the endpoint did not answer in time. It may live.
+type SlowError struct {
+	Address string
+}
+
+// Error says where.
+func (e *SlowError) Error() string { return "endpoint " + e.Address + " does not answer in time" }
+
 // StatusError tells that the endpoint answered with an unexpected status.
 type StatusError struct {
 	Address string
@@ -223,10 +245,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return &StatusError{Address: c.address, Path: path, Status: resp.StatusCode}
 	}
-	if out == nil {
-		return nil
-	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	// An endpoint without an opinion answers with an empty body.
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil && !errors.Is(err, io.EOF) {
 		return &BrokenError{Address: c.address, Cause: err}
 	}
 	return nil
--- a/node/agent.go
+++ b/node/agent.go
@@ -102,6 +102,7 @@
 		Config:      n.core.holder,
 		Claims:      claims,
 		Quarantine:  n.core.suspects,
+		Available:   n.core.Available,
 		Decisions:   n.core.decisions,
 	})
 	if err != nil {
--- a/node/states.go
+++ b/node/states.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"github.com/cyclamenpoint/cyclamenpoint/membership"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 )
@@ -28,3 +30,16 @@
 	}
 	return states
 }
+
+// Available returns those of the endpoints that are not known to be dead or
+// leaving, or all of them if none is left.
+func (c *core) Available(endpoints []string) []string {
+	states := c.States()
+	left := slices.DeleteFunc(slices.Clone(endpoints), func(name string) bool {
+		return states[name].Health >= picker.HealthDead
+	})
+	if len(left) == 0 {
+		return endpoints
+	}
+	return left
+}
--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,9 @@
 	// States returns the state of each endpoint that is known, by name. The
 	// caller owns the map.
 	States() map[string]picker.State
+	// Available returns those of the endpoints that are not known to be dead or
+	// leaving, or all of them if none is left.
+	Available(endpoints []string) []string
 }
 
 // NoEndpointError tells that no candidate could be reached.
@@ -182,6 +185,12 @@
 	}, true
 }
 
+// Available returns those of the endpoints that take new work, as far as is
+// known.
+func (r *Router) Available(endpoints []string) []string {
+	return r.opts.Members.Available(endpoints)
+}
+
 // Learn takes what an attempt showed of its endpoint.
 func (r *Router) Learn(target dispatch.Target, load *pb.ProbeResponse, result dispatch.Result) {
 	if load != nil {
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -45,7 +45,7 @@
 	router := chi.NewRouter()
 	router.Use(r.refuseWhileDown)
 	router.Post("/v1/chat/completions", r.chat)
-	router.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Get("/health", r.health)
 	router.Get("/load", r.load)
 	router.Get("/cache/events", r.cacheEvents)
 	router.Get("/requests/{id}", r.request)
@@ -212,6 +212,16 @@
 	})
 }
 
+// Health is the stand-in's answer to a look at its health.
+type Health struct {
+	// Boot counts the starts of the rank's process.
+	Boot string `json:"boot"`
+}
+
+func (r *Rank) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Health{Boot: strconv.Itoa(1 + r.Crashes())})
+}
+
 func (r *Rank) load(w http.ResponseWriter, _ *http.Request) {
 	step := r.group.Step()
 	r.mu.Lock()
