Never call a request not run when an earlier attempt may have run

Cause: the outcome of the last attempt decided what the caller was told. When the first one may have run and the second was refused, the caller read 'not-run', which was false. Also: a protected request whose connection broke asks the same endpoint once more, where its claim makes it wait for the answer of its own run. Conclusion: a doubt stays until the answer is whole.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,6 +46,8 @@
 	Prefixes []Prefix
 	// PromptBlocks is the length of the whole prompt in the engines' blocks.
 	PromptBlocks int
+	// reclaim names the endpoint that may run the protected request already.
+	reclaim string
 	// news is what this node knows of crashes, when the content is suspect.
 	news []byte
 	// ConfigVersion is the configuration by which the request is routed.
@@ -134,37 +136,97 @@
 
 // Do runs the request until its answer is whole in sink, and then returns nil.
 // A problem after sink.Head was called leaves the answer incomplete; the
-// caller must be told so in the stream.
+// caller must be told so in the stream. A problem says "not run" or "refused"
+// only when no attempt may have run.
 func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) *problem.Problem {
-	delivery := &delivery{sink: sink}
-	var tried []string
+	r := &run{dispatcher: d, req: req, delivery: &delivery{sink: sink}}
 	d.budget.First(req.Organisation)
-	for attempts := 1; ; attempts++ {
-		if p := d.suspect(req); p != nil {
-			return p
+	return r.do(ctx)
+}
+
+// run is the state of one request over all of its attempts.
+type run struct {
+	dispatcher *Dispatcher
+	req        *Request
+	delivery   *delivery
+	attempts   int
+	tried      []string
+	// doubt is what the caller is told of the first attempt that may have run.
+	doubt *problem.Problem
+	// reclaimed is true once a protected request was sent again to the endpoint
+	// that may run it.
+	reclaimed bool
+}
+
+func (r *run) do(ctx context.Context) *problem.Problem {
+	d := r.dispatcher
+	for {
+		r.attempts++
+		if p := d.suspect(r.req); p != nil {
+			return r.final(p)
 		}
-		target, err := d.pick(ctx, req, tried, delivery)
+		target, err := d.pick(ctx, r.req, r.tried, r.delivery)
 		if err != nil {
-			return d.noTarget(req, attempts, err)
+			return r.final(d.noTarget(r.req, r.attempts, err))
 		}
-		d.decisions.Add(decision.Dispatch, req.ID, "attempt %d goes to endpoint %s: %s.", attempts, target.Endpoint, target.Reason)
-		result := d.attempt(ctx, req, uint32(attempts), target, delivery)
+		d.decisions.Add(decision.Dispatch, r.req.ID, "attempt %d goes to endpoint %s: %s.", r.attempts, target.Endpoint, target.Reason)
+		result := d.attempt(ctx, r.req, uint32(r.attempts), target, r.delivery)
 		d.router.Learn(target, result.Load, result)
-		d.hear(req, result)
+		d.hear(r.req, result)
 		if result.State == Done {
 			return nil
 		}
-		d.decisions.Add(decision.Dispatch, req.ID, "attempt %d at endpoint %s ended: %s.", attempts, target.Endpoint, result)
-		if p := d.next(ctx, req, result, attempts, delivery); p != nil {
-			return p
-		}
-		// A suspect may run at one endpoint only, however often.
-		if req.Only == "" {
-			tried = append(tried, target.Endpoint)
+		d.decisions.Add(decision.Dispatch, r.req.ID, "attempt %d at endpoint %s ended: %s.", r.attempts, target.Endpoint, result)
+		if p := r.next(ctx, target, result); p != nil {
+			return r.final(p)
 		}
 	}
 }
 
+// final turns a problem that denies a run into the first doubt, if there is
+// one: a later refusal proves nothing about an earlier attempt.
+func (r *run) final(p *problem.Problem) *problem.Problem {
+	if r.doubt != nil && p.Kind.Outcome != problem.Unknown {
+		return r.doubt
+	}
+	return p
+}
+
+// next returns the problem that ends the request, or nil when one more attempt
+// follows.
+func (r *run) next(ctx context.Context, target Target, result Result) *problem.Problem {
+	final := result.problem(r.req, r.delivery.begun)
+	if result.State != NotRun && r.doubt == nil {
+		r.doubt = final
+	}
+	if result.State == CallerGone {
+		return final
+	}
+	if r.reclaim(target, result) {
+		return nil
+	}
+	// A suspect may run at one endpoint only, however often.
+	if r.req.Only == "" {
+		r.tried = append(r.tried, target.Endpoint)
+	}
+	return r.dispatcher.wait(ctx, r, result, final)
+}
+
+// reclaim sends a protected request once more to the endpoint whose connection
+// broke: its claim there makes it wait for the first run's answer.
+func (r *run) reclaim(target Target, result Result) bool {
+	if !r.req.protected() || !result.Silent || r.reclaimed || r.delivery.begun {
+		return false
+	}
+	if !r.dispatcher.budget.Take(r.req.Organisation) {
+		return false
+	}
+	r.reclaimed = true
+	r.req.reclaim = target.Endpoint
+	r.dispatcher.decisions.Add(decision.Retry, r.req.ID, "attempt %d asks endpoint %s for the answer of the first.", r.attempts+1, target.Endpoint)
+	return true
+}
+
 // pick asks the router. A delivery that has begun can only go on at an
 // endpoint that resumes.
 func (d *Dispatcher) pick(ctx context.Context, req *Request, tried []string, delivery *delivery) (Target, error) {
@@ -182,26 +244,22 @@
 	return newProblem(problem.NoCapacity, req, err.Error())
 }
 
-// next returns the problem that ends the request, or nil after the wait before
-// one more attempt.
-func (d *Dispatcher) next(ctx context.Context, req *Request, result Result, attempts int, delivery *delivery) *problem.Problem {
-	final := result.problem(req, delivery.begun)
-	if result.State == CallerGone {
-		return final
-	}
-	dec := d.policy.Next(d.budget, req.Organisation, retry.Failure{
-		Attempt:   attempts,
+// wait asks the policy whether one more attempt may follow, and waits before
+// it. It returns final when none follows.
+func (d *Dispatcher) wait(ctx context.Context, r *run, result Result, final *problem.Problem) *problem.Problem {
+	dec := d.policy.Next(d.budget, r.req.Organisation, retry.Failure{
+		Attempt:   r.attempts,
 		Outcome:   result.outcome(),
 		Final:     result.final(),
-		Repeat:    req.Repeat,
-		Begun:     delivery.begun && !req.resumable(),
+		Repeat:    r.req.Repeat,
+		Begun:     r.delivery.begun && !r.req.resumable(),
 		Remaining: timeLeft(ctx),
 	}, d.rng)
 	if !dec.Retry {
-		d.decisions.Add(decision.Retry, req.ID, "no further attempt after %d: %s.", attempts, dec.Reason)
+		d.decisions.Add(decision.Retry, r.req.ID, "no further attempt after %d: %s.", r.attempts, dec.Reason)
 		return final
 	}
-	d.decisions.Add(decision.Retry, req.ID, "attempt %d follows in %s: %s.", attempts+1, dec.After.Round(time.Millisecond), dec.Reason)
+	d.decisions.Add(decision.Retry, r.req.ID, "attempt %d follows in %s: %s.", r.attempts+1, dec.After.Round(time.Millisecond), dec.Reason)
 	timer := time.NewTimer(dec.After)
 	defer timer.Stop()
 	select {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -21,7 +21,7 @@
 		req.news = encode(d.suspects.News())
 		d.decisions.Add(decision.Quarantine, req.ID, "content %s is suspect and runs at endpoint %s only.", fp, req.Only)
 	default:
-		req.Only = ""
+		req.Only = req.reclaim
 		req.news = nil
 	}
 	return nil
