--- a/agent/protected.go
+++ b/agent/protected.go
@@ -22,6 +22,7 @@
 	Start(t claim.Token) error
 	Finish(t claim.Token, answer claim.Answer) error
 	Abandon(t claim.Token, reason string) error
+	MarkUnknown(t claim.Token, reason string) error
 }
 
 // runProtected runs a request at most once in the deployment, or replays the
@@ -92,6 +93,9 @@
 	}
 	att.Finish(false)
 	a.noteClaim(m, "the outcome is unknown: %s.", err)
+	if markErr := a.opts.Claims.MarkUnknown(token, err.Error()); markErr != nil {
+		a.noteClaim(m, "the claim cannot be marked: %s.", markErr)
+	}
 	a.watch.broke(ctx, err)
 	return out.end(pb.Outcome_OUTCOME_UNKNOWN, err.Error())
 }
--- a/cmd/cyclamenpoint-agent/main.go
+++ b/cmd/cyclamenpoint-agent/main.go
@@ -1,4 +1,16 @@
 // Command cyclamenpoint-agent runs beside an endpoint and decides what reaches it.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"k8s.io/klog/v2"
+
+	"github.com/cyclamenpoint/cyclamenpoint/command"
+)
+
+func main() {
+	code := command.RunAgent(os.Args[1:], os.Stdout, os.Stderr)
+	klog.Flush()
+	os.Exit(code)
+}
--- /dev/null
+++ b/command/agent.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"context"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/cyclamenpoint/cyclamenpoint/node"
+	"github.com/cyclamenpoint/cyclamenpoint/settings"
+)
+
+// agentOptions are the options of the agent's program.
+type agentOptions struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"the agent's settings as YAML"`
+}
+
+// RunAgent runs the agent's program with the arguments after its name and
+// returns its exit code.
+func RunAgent(args []string, out, errOut io.Writer) int {
+	var opts agentOptions
+	parser := flags.NewNamedParser("cyclamenpoint-agent", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "agent beside an endpoint"
+	parser.LongDescription = "cyclamenpoint-agent runs beside an endpoint until SIGTERM, and then waits for the work in flight."
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return report(err, out, errOut)
+	}
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		err = runAgent(opts.Settings)
+	}
+	return report(err, out, errOut)
+}
+
+func runAgent(file string) error {
+	s, err := settings.LoadAgent(file)
+	if err != nil {
+		return err
+	}
+	secret, err := s.Secret()
+	if err != nil {
+		return err
+	}
+	a, err := node.StartAgent(s, secret, nil)
+	if err != nil {
+		return err
+	}
+	return untilStopped(a)
+}
+
+// stopper is a process that can be stopped gracefully.
+type stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// untilStopped waits for a signal and stops the process.
+func untilStopped(s stopper) error {
+	ctx, cancel := untilSignal()
+	defer cancel()
+	<-ctx.Done()
+	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	return s.Stop(stopping)
+}
--- a/command/command.go
+++ b/command/command.go
@@ -111,6 +111,17 @@
 		{"diff", "Compare a file with the configuration in force", "Lists what would change if the file were handed over.", &diffCommand{streams: s}},
 		{"schema", "Print the JSON Schema of a configuration", "Prints the JSON Schema of a configuration, for programs in any language.", &schemaCommand{streams: s}},
 	})
+	group, _ = parser.AddCommand("claims", "List and settle the claims of protected requests", "Lists and settles the claims of protected requests whose outcome is unknown.", &struct{}{})
+	addAll(group, []subcommand{
+		{"list", "List the claims without an end", "Lists the claims that run or whose outcome is unknown.", &claimsCommand{streams: s}},
+		{"resolve", "Settle a claim", "Settles a claim of unknown outcome: ran keeps its key from running, not-run frees it.", &resolveCommand{streams: s}},
+		{"retire", "Say that an endpoint's agent is gone for good", "Makes the claims that the agent left running count as unknown.", &retireCommand{streams: s}},
+	})
+	group, _ = parser.AddCommand("quarantine", "List and free the requests that crash endpoints", "Lists and frees the requests that crash endpoints.", &struct{}{})
+	addAll(group, []subcommand{
+		{"list", "List what is suspected or quarantined", "Lists the fingerprints that a node holds suspect or quarantined.", &quarantineCommand{streams: s}},
+		{"clear", "Free a fingerprint", "Clears a fingerprint of all its crashes, at all nodes.", &clearCommand{streams: s}},
+	})
 	return parser
 }
 
--- a/command/demo.go
+++ b/command/demo.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"context"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/demo"
@@ -19,8 +18,6 @@
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
-	ctx, cancel := untilSignal()
-	defer cancel()
 	d, err := demo.Start(demo.Options{Listen: c.Listen, Step: demo.DefaultStep})
 	if err != nil {
 		return err
@@ -28,8 +25,5 @@
 	if err := d.Describe(c.streams.out); err != nil {
 		return err
 	}
-	<-ctx.Done()
-	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancelStop()
-	return d.Stop(stopping)
+	return untilStopped(d)
 }
--- a/command/serve.go
+++ b/command/serve.go
@@ -1,8 +1,6 @@
 package command
 
 import (
-	"context"
-
 	"github.com/cyclamenpoint/cyclamenpoint/node"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
 )
@@ -24,14 +22,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := untilSignal()
-	defer cancel()
 	n, err := node.StartEntry(s, secret, nil)
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
-	stopping, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancelStop()
-	return n.Stop(stopping)
+	return untilStopped(n)
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -51,10 +51,12 @@
 	demoModel      = "demo"
 	demoService    = "desk"
 	demoGroup      = "demo-group"
-	demoSecret     = "demo-secret-of-one-process"
 	loopbackAnyOne = "127.0.0.1:0"
 )
 
+// Secret is the demo's deployment secret.
+const Secret = "demo-secret-of-one-process"
+
 var failureDomains = []string{"demo-a", "demo-b", "demo-c"}
 
 // Demo is a running demo.
@@ -109,7 +111,7 @@
 	if err := d.accept(deploy); err != nil {
 		return err
 	}
-	secret, err := peer.NewSecret(demoSecret)
+	secret, err := peer.NewSecret(Secret)
 	if err != nil {
 		return err
 	}
@@ -328,6 +330,9 @@
 	return nil
 }
 
+// Operators returns the operators' addresses of the entry nodes.
+func (d *Demo) Operators() []string { return d.operators[len(d.operators)-len(d.entries):] }
+
 // Callers returns the callers' URLs of the entry nodes.
 func (d *Demo) Callers() []string { return d.callers }
 
@@ -342,8 +347,11 @@
 curl %[1]s/services/%[5]s/reservations -H 'Authorization: Bearer %[3]s' \
   -H 'Idempotency-Key: order-1' -d '{"item":"belt"}'
 
+printf %%s %[6]s >demo.secret
+cyclamenpoint status --secret-file demo.secret --node %[7]s --node %[8]s
+
 SIGTERM or Ctrl-C ends the demo once all answers are whole.
-`, d.callers[0], d.callers[1], demoKey, demoModel, demoService)
+`, d.callers[0], d.callers[1], demoKey, demoModel, demoService, Secret, d.Operators()[0], d.Operators()[1])
 	return errors.Wrap(err, "describe the demo")
 }
 
--- a/gen/cyclamenpoint/v1/cyclamenpointv1connect/node.connect.go
+++ b/gen/cyclamenpoint/v1/cyclamenpointv1connect/node.connect.go
@@ -48,6 +48,9 @@
 	// NodeServiceResolveClaimProcedure is the fully-qualified name of the NodeService's ResolveClaim
 	// RPC.
 	NodeServiceResolveClaimProcedure = "/cyclamenpoint.v1.NodeService/ResolveClaim"
+	// NodeServiceRetireEndpointProcedure is the fully-qualified name of the NodeService's
+	// RetireEndpoint RPC.
+	NodeServiceRetireEndpointProcedure = "/cyclamenpoint.v1.NodeService/RetireEndpoint"
 	// NodeServiceListQuarantineProcedure is the fully-qualified name of the NodeService's
 	// ListQuarantine RPC.
 	NodeServiceListQuarantineProcedure = "/cyclamenpoint.v1.NodeService/ListQuarantine"
@@ -70,6 +73,9 @@
 	ListClaims(context.Context, *connect.Request[v1.ListClaimsRequest]) (*connect.Response[v1.ListClaimsResponse], error)
 	// ResolveClaim settles a claim whose outcome is unknown.
 	ResolveClaim(context.Context, *connect.Request[v1.ResolveClaimRequest]) (*connect.Response[v1.ResolveClaimResponse], error)
+	// RetireEndpoint says that the agent of an endpoint is gone for good, so that
+	// the claims that it left running count as unknown.
+	RetireEndpoint(context.Context, *connect.Request[v1.RetireEndpointRequest]) (*connect.Response[v1.RetireEndpointResponse], error)
 	// ListQuarantine lists the fingerprints that are suspected or quarantined.
 	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
 	// ClearQuarantine frees a fingerprint.
@@ -123,6 +129,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("ResolveClaim")),
 			connect.WithClientOptions(opts...),
 		),
+		retireEndpoint: connect.NewClient[v1.RetireEndpointRequest, v1.RetireEndpointResponse](
+			httpClient,
+			baseURL+NodeServiceRetireEndpointProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("RetireEndpoint")),
+			connect.WithClientOptions(opts...),
+		),
 		listQuarantine: connect.NewClient[v1.ListQuarantineRequest, v1.ListQuarantineResponse](
 			httpClient,
 			baseURL+NodeServiceListQuarantineProcedure,
@@ -146,6 +158,7 @@
 	getConfig       *connect.Client[v1.GetConfigRequest, v1.GetConfigResponse]
 	listClaims      *connect.Client[v1.ListClaimsRequest, v1.ListClaimsResponse]
 	resolveClaim    *connect.Client[v1.ResolveClaimRequest, v1.ResolveClaimResponse]
+	retireEndpoint  *connect.Client[v1.RetireEndpointRequest, v1.RetireEndpointResponse]
 	listQuarantine  *connect.Client[v1.ListQuarantineRequest, v1.ListQuarantineResponse]
 	clearQuarantine *connect.Client[v1.ClearQuarantineRequest, v1.ClearQuarantineResponse]
 }
@@ -180,6 +193,11 @@
 	return c.resolveClaim.CallUnary(ctx, req)
 }
 
+// RetireEndpoint calls cyclamenpoint.v1.NodeService.RetireEndpoint.
+func (c *nodeServiceClient) RetireEndpoint(ctx context.Context, req *connect.Request[v1.RetireEndpointRequest]) (*connect.Response[v1.RetireEndpointResponse], error) {
+	return c.retireEndpoint.CallUnary(ctx, req)
+}
+
 // ListQuarantine calls cyclamenpoint.v1.NodeService.ListQuarantine.
 func (c *nodeServiceClient) ListQuarantine(ctx context.Context, req *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error) {
 	return c.listQuarantine.CallUnary(ctx, req)
@@ -204,6 +222,9 @@
 	ListClaims(context.Context, *connect.Request[v1.ListClaimsRequest]) (*connect.Response[v1.ListClaimsResponse], error)
 	// ResolveClaim settles a claim whose outcome is unknown.
 	ResolveClaim(context.Context, *connect.Request[v1.ResolveClaimRequest]) (*connect.Response[v1.ResolveClaimResponse], error)
+	// RetireEndpoint says that the agent of an endpoint is gone for good, so that
+	// the claims that it left running count as unknown.
+	RetireEndpoint(context.Context, *connect.Request[v1.RetireEndpointRequest]) (*connect.Response[v1.RetireEndpointResponse], error)
 	// ListQuarantine lists the fingerprints that are suspected or quarantined.
 	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
 	// ClearQuarantine frees a fingerprint.
@@ -253,6 +274,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("ResolveClaim")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceRetireEndpointHandler := connect.NewUnaryHandler(
+		NodeServiceRetireEndpointProcedure,
+		svc.RetireEndpoint,
+		connect.WithSchema(nodeServiceMethods.ByName("RetireEndpoint")),
+		connect.WithHandlerOptions(opts...),
+	)
 	nodeServiceListQuarantineHandler := connect.NewUnaryHandler(
 		NodeServiceListQuarantineProcedure,
 		svc.ListQuarantine,
@@ -279,6 +306,8 @@
 			nodeServiceListClaimsHandler.ServeHTTP(w, r)
 		case NodeServiceResolveClaimProcedure:
 			nodeServiceResolveClaimHandler.ServeHTTP(w, r)
+		case NodeServiceRetireEndpointProcedure:
+			nodeServiceRetireEndpointHandler.ServeHTTP(w, r)
 		case NodeServiceListQuarantineProcedure:
 			nodeServiceListQuarantineHandler.ServeHTTP(w, r)
 		case NodeServiceClearQuarantineProcedure:
@@ -316,6 +345,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cyclamenpoint.v1.NodeService.ResolveClaim is not implemented"))
 }
 
+func (UnimplementedNodeServiceHandler) RetireEndpoint(context.Context, *connect.Request[v1.RetireEndpointRequest]) (*connect.Response[v1.RetireEndpointResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cyclamenpoint.v1.NodeService.RetireEndpoint is not implemented"))
+}
+
 func (UnimplementedNodeServiceHandler) ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cyclamenpoint.v1.NodeService.ListQuarantine is not implemented"))
 }
