--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -23,12 +23,16 @@
 // write interval is each ledger's share of targetWrites.
 func BenchmarkProtected(b *testing.B) {
 	for _, ledgers := range []int{1, 3, 12, 40} {
-		b.Run(fmt.Sprintf("ledgers=%d", ledgers), func(b *testing.B) { benchmarkProtected(b, ledgers) })
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+			name := fmt.Sprintf("ledgers=%d/table=%s", ledgers, delay)
+			b.Run(name, func(b *testing.B) { benchmarkProtected(b, ledgers, delay) })
+		}
 	}
 }
 
-func benchmarkProtected(b *testing.B, ledgers int) {
+func benchmarkProtected(b *testing.B, ledgers int, delay time.Duration) {
 	store := tablestandin.New()
+	store.SetFaults(tablestandin.Faults{Delay: delay})
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
 	// A tenth of the budget is left for registrations and sweeps.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -218,6 +218,32 @@
 	})
 }
 
+// TestSuccessorOfADeadOwner bounds how long nobody owns the lease: the duration
+// and drift that an observer watches, and the time until it first looks.
+func TestSuccessorOfADeadOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tablestandin.New()
+		a := start(store, "a", Settings{}, 1)
+		first, err := a.lease.Acquire(context.Background())
+		assert.NilError(t, err)
+		b := start(store, "b", Settings{}, 2)
+		time.Sleep(time.Minute)
+		a.table.paused.Store(time.Now().Add(time.Hour).UnixNano())
+		longest := DefaultDuration/watchParts + time.Duration(float64(DefaultDuration)*(1+DefaultDrift))
+		ctx, cancel := context.WithTimeout(context.Background(), longest)
+		defer cancel()
+		second, err := b.lease.Acquire(ctx)
+		assert.NilError(t, err)
+		assert.Assert(t, second > first)
+		a.table.paused.Store(0)
+		time.Sleep(time.Hour)
+		_, ok := a.lease.Held()
+		assert.Assert(t, !ok, "the former owner that wakes knows that it lost")
+		a.stop()
+		b.stop()
+	})
+}
+
 func TestReleaseHandsOverAtOnceAndTokensGrow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := tablestandin.New()
--- a/standin/table/standin_test.go
+++ b/standin/table/standin_test.go
@@ -56,6 +56,11 @@
 	_, err = client.Write(ctx, []table.Op{table.Check("a", etags[0]), table.Create("c", nil)})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, store.Counts(), tablestandin.Counts{Reads: 1, Writes: 3, Rows: 3})
+	absent := table.Op{Kind: table.KindCheck, Key: "d", IfAbsent: true}
+	_, err = client.Write(ctx, []table.Op{absent})
+	assert.NilError(t, err)
+	_, err = client.Write(ctx, []table.Op{table.Check("a", `"other"`)})
+	assert.DeepEqual(t, err, table.ConflictError{Keys: []string{"a"}})
 }
 
 func TestListPages(t *testing.T) {
