Let a single starting node confirm without waiting for its turn

Cause: each starting node waited for a random turn among all members, even alone. Conclusion: turns only after a failed transaction.

--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -72,12 +72,10 @@
 	repeatEvery = 250 * time.Millisecond
 	repeats     = 10
 	// confirmsPerSecond bounds the transactions by which all nodes together
-	// confirm what they read when all of them start at once.
+	// confirm what they read, once one of them has failed.
 	confirmsPerSecond = 250
 	minRetry          = 100 * time.Millisecond
-	// maxConfirmRetry bounds the time between two tries to confirm.
-	maxConfirmRetry = 2 * time.Second
-	heardBacklog    = 16
+	heardBacklog      = 16
 )
 
 // candidate is a version that this node holds.
@@ -137,10 +135,8 @@
 	etag      string
 	fetchAt   time.Time
 	confirmAt time.Time
-	// confirmRetry is the time to the next try after a failed one.
-	confirmRetry time.Duration
-	pollRetry    time.Duration
-	pending      *candidate
+	pollRetry time.Duration
+	pending   *candidate
 
 	mu     sync.Mutex
 	force  *candidate
@@ -215,7 +211,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.begun = time.Now()
 	f.news, f.announced = f.begun, repeats
-	f.confirmAt = f.begun.Add(f.settings.Grace + f.turn())
+	f.confirmAt = f.begun.Add(f.settings.Grace + time.Duration(f.random.Float64()*float64(f.settings.Grace)))
 	poll := time.NewTimer(0)
 	defer poll.Stop()
 	check := time.NewTimer(checkEvery)
@@ -237,9 +233,8 @@
 
 // turn returns a random time within which all members may confirm, one after
 // the other.
-func (f *Follower) turn() time.Duration {
-	members := f.peers.Census(Digest{}).Members
-	return time.Duration(f.random.Float64() * float64(members) / confirmsPerSecond * float64(time.Second))
+func (f *Follower) turn(members int) time.Duration {
+	return minRetry + time.Duration(f.random.Float64()*float64(members)/confirmsPerSecond*float64(time.Second))
 }
 
 // nextCheck returns when to look again without being told anything.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -53,8 +53,7 @@
 	if !f.start.tableRead || f.start.confirmed || census.majorityReady() || time.Now().Before(f.confirmAt) {
 		return
 	}
-	f.confirmRetry = min(maxConfirmRetry, max(minRetry, 2*f.confirmRetry))
-	f.confirmAt = time.Now().Add(f.spread(f.confirmRetry))
+	f.confirmAt = time.Now().Add(f.turn(census.Members))
 	check := table.Op{Kind: table.KindCheck, Key: currentKey, IfMatch: f.etag, IfAbsent: f.etag == ""}
 	_, err := f.table.Write(ctx, []table.Op{check})
 	if err != nil {
--- a/rollout/swarm_test.go
+++ b/rollout/swarm_test.go
@@ -242,6 +242,7 @@
 		times[count/2].Round(time.Millisecond), times[count*99/100].Round(time.Millisecond),
 		times[count-1].Round(time.Millisecond), reads,
 		float64(s.objects.Counts().Reads-objects.Reads)/changes)
+	restartOne(t, s)
 	s.land()
 	assert.Assert(t, reads <= targetReads)
 	if mode != spreadNone {
@@ -250,6 +251,19 @@
 	replaceAll(t, s, size)
 }
 
+// restartOne starts one node among the running ones.
+func restartOne(t *testing.T, s *swarm) {
+	b := &bee{swarm: s}
+	b.follower = NewFollower(Settings{Node: "new"}, s.store, s.objects, b, b, rand.New(rand.NewPCG(1, 7)))
+	ctx, cancel := context.WithCancel(context.Background())
+	s.reset()
+	s.duties.Go(func() { b.follower.Run(ctx) })
+	time.Sleep(targetStartTable)
+	assert.Check(t, b.follower.Ready() == nil)
+	t.Logf("one restarted: ready after %s", s.sorted()[0].Round(time.Millisecond))
+	cancel()
+}
+
 // replaceAll starts all nodes anew in one instant.
 func replaceAll(t *testing.T, s *swarm, size int) {
 	before := s.store.Counts()
