Replace entry nodes and agents under work, also with the table down

Cause: no test replaced a running process. Before: untested. Ruled out here: the VM list as the only sign took 30 s in a test, because a process younger than 30 s takes an entry of its VM for its predecessor's; the membership's own tests show 0.7 s for an older one. Conclusion: what a node needs to know it gets from the table or its peers.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -61,19 +61,22 @@
 
 // Demo is a running demo.
 type Demo struct {
-	opts      Options
-	platform  settings.Platform
-	table     *tablestandin.Store
-	engines   *enginestandin.Group
-	service   *servicestandin.Service
-	standins  []*http.Server
-	agents    []*node.Agent
-	entries   []*node.Entry
-	callers   []string
-	sockets   node.Sockets
-	config    *deployment.Deployment
-	seeds     []string
-	operators []string
+	opts          Options
+	platform      settings.Platform
+	table         *tablestandin.Store
+	engines       *enginestandin.Group
+	service       *servicestandin.Service
+	standins      []*http.Server
+	agents        []*node.Agent
+	vms           *vmliststandin.List
+	agentSettings []*settings.Agent
+	entrySettings []*settings.Entry
+	entries       []*node.Entry
+	callers       []string
+	sockets       node.Sockets
+	config        *deployment.Deployment
+	seeds         []string
+	operators     []string
 }
 
 // Options describe a demo.
@@ -145,13 +148,14 @@
 // startPlatform starts the platform's stand-ins.
 func (d *Demo) startPlatform() error {
 	d.table = tablestandin.New()
+	d.vms = vmliststandin.New(vmListLag)
 	for _, s := range []struct {
 		url     *string
 		handler http.Handler
 	}{
 		{&d.platform.Table, d.table.Handler()},
 		{&d.platform.Objects, objectstorestandin.New().Handler()},
-		{&d.platform.VMs, vmliststandin.New(vmListLag).Handler()},
+		{&d.platform.VMs, d.vms.Handler()},
 	} {
 		address, err := d.serve(s.handler)
 		if err != nil {
@@ -284,10 +288,12 @@
 			return err
 		}
 		common.Peers = e.Agent
-		a, err := node.StartAgent(&settings.Agent{Node: common, Endpoint: e.Name}, secret, d.sockets)
+		own := &settings.Agent{Node: common, Endpoint: e.Name}
+		a, err := node.StartAgent(own, secret, d.sockets)
 		if err != nil {
 			return err
 		}
+		d.agentSettings = append(d.agentSettings, own)
 		d.agents = append(d.agents, a)
 	}
 	return nil
@@ -320,10 +326,12 @@
 		if err != nil {
 			return err
 		}
-		e, err := node.StartEntry(&settings.Entry{Node: common, Callers: callers, Limits: entry.DefaultLimits(), DebugVars: true}, secret, d.sockets)
+		own := &settings.Entry{Node: common, Callers: callers, Limits: entry.DefaultLimits(), DebugVars: true}
+		e, err := node.StartEntry(own, secret, d.sockets)
 		if err != nil {
 			return err
 		}
+		d.entrySettings = append(d.entrySettings, own)
 		d.entries = append(d.entries, e)
 		d.callers = append(d.callers, "http://"+callers)
 	}
