--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -140,6 +140,34 @@
 	})
 }
 
+// TestStartAmongOlderPeers restarts a node that had version 2 in force where it
+// hears only nodes that missed it, in an outage of the table.
+func TestStartAmongOlderPeers(t *testing.T) {
+	virtually(t, 5, func(s *site) {
+		s.hub.nodes[3].stop()
+		s.hub.nodes[4].stop()
+		old := s.store.Snapshot()
+		s.accept(1, "second")
+		time.Sleep(targetInForce)
+		s.hub.split(0b11000)
+		present := s.store.Snapshot()
+		s.store.Restore(old)
+		s.start(3, nil)
+		s.start(4, nil)
+		time.Sleep(targetInForce)
+		assert.Equal(t, s.hub.nodes[3].follower.Status().InForce.Number, uint64(1))
+		s.store.Restore(present)
+		s.store.SetFaults(tablestandin.Faults{Down: true})
+		s.hub.split(0b11001)
+		follower := s.replace(0)
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, follower.Ready(), NotReadyError{Reason: ReasonNoKnowledge})
+		s.hub.split(0)
+		time.Sleep(targetStartPeers)
+		s.inForce(2)
+	})
+}
+
 func TestAllReplacedInAnOutageOfTheTable(t *testing.T) {
 	virtually(t, 5, func(s *site) {
 		s.store.SetFaults(tablestandin.Faults{Down: true})
@@ -215,7 +243,14 @@
 		s.hub.split(0b0011)
 		time.Sleep(10 * time.Second)
 		s.accept(1, "second")
-		time.Sleep(targetInForce)
+		begun := time.Now()
+		follower := s.hub.nodes[0].follower
+		for follower.Status().Held.Number < 2 && time.Since(begun) < targetInForce {
+			time.Sleep(messageDelay)
+		}
+		time.Sleep(DefaultSettle / 2)
+		assert.Equal(t, follower.Status().InForce.Number, uint64(1), "half of the nodes are no majority")
+		time.Sleep(targetInForce - time.Since(begun))
 		s.inForce(2)
 	})
 }
