--- a/membership/watch.go
+++ b/membership/watch.go
@@ -80,7 +80,7 @@
 // helper that answers and did not reach it either, nothing is held against it:
 // then this process is the one that is cut off.
 func (n *Node) verify(ctx context.Context, target Record) {
-	helpers := n.peers(n.cfg.Timing.Helpers, target.Name)
+	helpers := n.helpers(target)
 	verdicts := make(chan verdict, len(helpers)+1)
 	go func() { verdicts <- n.again(ctx, target) }()
 	for _, helper := range helpers {
@@ -106,6 +106,35 @@
 	n.suspect(target, silent)
 }
 
+// helpers draws the processes that check target. All but one come from different
+// failure domains that are neither the own one nor the target's, so that a fault
+// between these two is not taken for a death. The last one comes from the own
+// failure domain, in case that is cut off from all others.
+func (n *Node) helpers(target Record) []Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.cfg.Self.FailureDomain
+	used := map[string]bool{own: true, target.FailureDomain: true}
+	var found []Record
+	for k := range n.cfg.Timing.Helpers {
+		last := k == n.cfg.Timing.Helpers-1
+		usable := func(m *Member) bool {
+			return m.Health == Alive && m.Name != target.Name && !contains(found, m.Name)
+		}
+		r, ok := n.draw(func(m *Member) bool {
+			return usable(m) && (last && m.FailureDomain == own || !last && !used[m.FailureDomain])
+		})
+		if !ok {
+			r, ok = n.draw(usable)
+		}
+		if ok {
+			used[r.FailureDomain] = true
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // again pings the target itself once more. Its silence alone proves nothing.
 func (n *Node) again(ctx context.Context, target Record) verdict {
 	if n.ping(ctx, target) {
