--- a/membership/node.go
+++ b/membership/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -32,20 +31,6 @@
 	stats   Stats
 }
 
-// Stats counts what a node did. It is read by Node.Stats.
-type Stats struct {
-	// Pings, Pushes, Syncs, Checks and Lists count calls made.
-	Pings, Pushes, Syncs, Checks, Lists atomic.Int64
-	// Silent counts pings without an answer.
-	Silent atomic.Int64
-	// Suspicions counts suspicions that this process raised.
-	Suspicions atomic.Int64
-	// Refuted counts news about this process that it had to correct.
-	Refuted atomic.Int64
-	// Unjudged counts silent processes that no helper could judge.
-	Unjudged atomic.Int64
-}
-
 // NewNode returns a node that knows only itself. Run starts it.
 func NewNode(cfg Config) *Node {
 	n := &Node{
