Bound what membership takes from other processes

A record with the greatest incarnation made a node wrap its own to 0, and it then lost for good (seeds 0 and 1 of FuzzHandleExchange).

--- a/membership/node.go
+++ b/membership/node.go
@@ -104,7 +104,8 @@
 	return n.table.Distrusted()
 }
 
-// Leave announces that the process takes no new work.
+// Leave announces that the process takes no new work. Run has to go on for a
+// second or more, so that the news gets out.
 func (n *Node) Leave() {
 	n.mu.Lock()
 	self := n.table.Self()
--- a/membership/record.go
+++ b/membership/record.go
@@ -103,13 +103,21 @@
 	}
 }
 
+// maxCounter bounds incarnations and sequences from other processes, so that
+// raising one never overflows.
+const maxCounter = 1 << 62
+
 // recordOf reads a message from another process. It reports false when the
-// message names no process or no known state.
+// message names no process or no known state, or when a counter is out of
+// bounds.
 func recordOf(m *cyclamenpointv1.Member) (Record, bool) {
 	health := m.GetHealth() - 1
 	if m.GetName() == "" || health < 0 || health > cyclamenpointv1.Health(Dead) {
 		return Record{}, false
 	}
+	if m.GetIncarnation() > maxCounter || m.GetSequence() > maxCounter {
+		return Record{}, false
+	}
 	return Record{
 		Name:          m.GetName(),
 		Address:       m.GetAddress(),
--- a/membership/table.go
+++ b/membership/table.go
@@ -14,6 +14,8 @@
 	// deadKept is how long a dead member is remembered, so that late news of it
 	// is recognised.
 	deadKept = 24 * time.Hour
+	// MaxMembers bounds the processes that a table holds.
+	MaxMembers = 8192
 )
 
 // Member is a record with what this process noted of it.
@@ -88,7 +90,7 @@
 }
 
 // Apply merges a record from another process and says whether anything
-// changed. News of this process itself that is wrong is refuted: the table
+// changed. News of an unknown process is dropped when the table is full. News of this process itself that is wrong is refuted: the table
 // raises its own sequence, or its incarnation when another one was in use.
 func (t *Table) Apply(r Record, now time.Time) bool {
 	if r.Name == t.self.Name {
@@ -101,6 +103,8 @@
 			t.heardAgain(r)
 			return false
 		}
+	} else if len(t.members) >= MaxMembers {
+		return false
 	}
 	t.set(next, now)
 	t.news[r.Name] = newsSends
