--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -99,6 +99,7 @@
 	version    uint64
 	states     map[string]picker.State
 	hints      map[string]picker.Load
+	ejected    map[string]time.Time
 	changedAt  time.Time
 }
 
@@ -106,7 +107,7 @@
 func New(cfg Config) *Balancer {
 	// The size is a positive constant; New fails for no other reason.
 	holders, _ := lru.New[uint64, string](maxHolders)
-	return &Balancer{cfg: cfg, holders: holders, rng: cfg.Rand, hints: make(map[string]picker.Load)}
+	return &Balancer{cfg: cfg, holders: holders, rng: cfg.Rand, hints: make(map[string]picker.Load), ejected: make(map[string]time.Time)}
 }
 
 // SetDeployment puts a deployment in force. The caller must not change d
@@ -128,6 +129,18 @@
 	b.rebuild(time.Now())
 }
 
+// Eject gives an endpoint no new work for a while, because requests failed
+// there though it answers probes. The floor holds for ejected endpoints as for
+// others that look ill.
+func (b *Balancer) Eject(endpoint string, period time.Duration, reason string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.ejected[endpoint] = now.Add(period)
+	b.rebuild(now)
+	klog.Infof("balancer: %s is ejected for %s: %s", endpoint, period, reason)
+}
+
 // Run renews the snapshot's hints and shares until ctx ends.
 func (b *Balancer) Run(ctx context.Context) {
 	ticker := time.NewTicker(refreshPeriod)
@@ -151,7 +164,7 @@
 	if v == nil {
 		return
 	}
-	if now.Sub(b.changedAt) < slowStartWatch {
+	if now.Sub(b.changedAt) < slowStartWatch || len(b.ejected) > 0 {
 		b.build(now)
 		return
 	}
@@ -168,7 +181,7 @@
 	if b.deployment == nil {
 		return
 	}
-	snap := picker.NewSnapshot(b.deployment, b.version, b.cfg.View, b.allStates(), now)
+	snap := picker.NewSnapshot(b.deployment, b.version, b.cfg.View, b.allStates(now), now)
 	agents := make([]string, snap.Len())
 	for i := range b.deployment.Endpoints {
 		agents[i] = b.deployment.Endpoints[i].Agent
@@ -176,18 +189,26 @@
 	b.current.Store(&view{snap: snap.WithHints(b.hintsOf(snap), now), agents: agents})
 }
 
-// allStates adds the endpoints whose agent has not been met.
-func (b *Balancer) allStates() map[string]picker.State {
-	if b.states == nil {
-		return nil
-	}
-	all := maps.Clone(b.states)
+// allStates adds the endpoints whose agent has not been met and those that are
+// ejected.
+func (b *Balancer) allStates(now time.Time) map[string]picker.State {
+	all := make(map[string]picker.State, len(b.states))
+	maps.Copy(all, b.states)
 	for i := range b.deployment.Endpoints {
 		name := b.deployment.Endpoints[i].Name
-		if _, ok := all[name]; !ok {
+		if _, ok := all[name]; !ok && b.states != nil {
 			all[name] = picker.State{Health: picker.HealthSuspect}
 		}
 	}
+	for name, until := range b.ejected {
+		if !now.Before(until) {
+			delete(b.ejected, name)
+			continue
+		}
+		if state := all[name]; state.Health == picker.HealthAlive {
+			all[name] = picker.State{Health: picker.HealthSuspect, Since: state.Since}
+		}
+	}
 	return all
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -139,3 +139,23 @@
 		})
 	}
 }
+
+func TestEjectedEndpointComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(&agents{})
+		b.SetDeployment(workers(3), 1)
+		go b.Run(t.Context())
+		probed := func() int {
+			pick, err := b.Pick(t.Context(), "r", &picker.Request{Service: "register"})
+			assert.NilError(t, err)
+			return pick.Probed
+		}
+		b.Eject("w-1", 10*time.Second, "engine down")
+		assert.Equal(t, probed(), 2)
+		b.Eject("w-2", 10*time.Second, "engine down")
+		assert.Equal(t, probed(), 3, "the floor did not hold")
+		time.Sleep(12 * time.Second)
+		b.Eject("w-0", 10*time.Second, "engine down")
+		assert.Equal(t, probed(), 2, "the others did not come back")
+	})
+}
