--- a/placement/mix.go
+++ b/placement/mix.go
@@ -18,8 +18,8 @@
 	// mix has changed.
 	jumpLimit  = 6
 	driftLimit = 4
-	// pairWindows is the time between two drifts that shows that the mix is on
-	// the move. A single one may be noise: it refreshes the estimate, but the
+	// pairWindows is the time between two drifts that shows that the mix keeps
+	// changing. A single one may be noise: it refreshes the estimate, but the
 	// layer stays steady.
 	pairWindows = 360
 	// driftWindows is the number of windows that the fast average rests on.
