--- a/mapswitch/group_test.go
+++ b/mapswitch/group_test.go
@@ -164,6 +164,8 @@
 	begun  uint64
 	loaded map[Ref]bool
 	paused atomic.Int64
+	// loseAnswer makes the next hold take effect without an answer.
+	loseAnswer atomic.Bool
 }
 
 // Held blocks while the agent is paused.
@@ -202,6 +204,9 @@
 		return false, nil
 	}
 	e.st.Held = order.Proposal
+	if e.loseAnswer.CompareAndSwap(true, false) {
+		return false, fakeDownError{}
+	}
 	return true, nil
 }
 
