mapswitch: go on switching while the record cannot be saved

Cause: after a save without an answer the coordinator only read the record, again and again, so that during an outage of the table service one switch went through and no further one. Before: with the table down the second of two maps did not come in force (TestSecondSwitchInOutage red).

--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -164,7 +164,7 @@
 		return nil
 	}
 	if !ev.OK {
-		return []Action{ReadRecord{}}
+		return c.recordUnknown()
 	}
 	c.record, c.revision = ev.Record, ev.Revision
 	if c.record.Token > c.token {
@@ -179,6 +179,16 @@
 	return c.startForming()
 }
 
+// recordUnknown lets a leader whose epoch runs go on switching maps during an
+// outage of the table service. Its next write fails if the record has changed.
+func (c *Coordinator) recordUnknown() []Action {
+	if c.formedEpoch == 0 || c.formedEpoch != c.record.Epoch {
+		return []Action{ReadRecord{}}
+	}
+	c.enterPhase(Leading)
+	return nil
+}
+
 // recordWritten reads the record back after any write without a clear answer.
 func (c *Coordinator) recordWritten(ev RecordWritten) []Action {
 	switch c.phase {
--- a/mapswitch/cost_test.go
+++ b/mapswitch/cost_test.go
@@ -68,6 +68,23 @@
 	}
 }
 
+// TestSecondSwitchInOutage asks for another map while the first one could not be
+// saved.
+func TestSecondSwitchInOutage(t *testing.T) {
+	var group *fakeGroup
+	got := trial(t, 8, func(ctx context.Context, g *fakeGroup) {
+		group = g
+		g.down.Store(true)
+		wait(ctx, 4*time.Second)
+		assert.NilError(t, g.nodes[0].WantMap(otherMap))
+	})
+	report(t, 8, "two switches with the table service down", got)
+	assert.Equal(t, got.lost, 0.0)
+	for _, e := range group.engines {
+		assert.Equal(t, e.st.InForce, otherMap.Ref)
+	}
+}
+
 // TestLostAnswerOfEngine has an engine take a hold whose answer is lost: the
 // agent attaches again, finds the hold and stands by the vote.
 func TestLostAnswerOfEngine(t *testing.T) {
--- a/mapswitch/group_test.go
+++ b/mapswitch/group_test.go
@@ -51,7 +51,7 @@
 	g.record = Record{Epoch: 1, Members: members, Engines: PackEngines(engines), Map: oldMap}
 	for r := range ranks {
 		st := Status{Engine: 1, Epoch: 1, Members: members, InForce: oldMap}
-		e := &fakeEngine{group: g, rank: Rank(r), st: st, loaded: map[Ref]bool{oldMap: true}}
+		e := &fakeEngine{group: g, rank: Rank(r), st: st, base: oldMap, loaded: map[Ref]bool{oldMap: true}}
 		g.engines = append(g.engines, e)
 		cfg := Config{
 			Group: "g", Rank: Rank(r), Peers: members, Limits: Limits{Lead: fakeLead, Margin: 2, InquireTicks: 20},
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, e := range g.engines {
-		ref := oldMap
+		ref := e.base
 		if e.st.Switched.Step > 0 && e.begun >= e.st.Switched.Step {
 			ref = e.st.Switched.Map
 		}
@@ -161,6 +161,7 @@
 	group  *fakeGroup
 	rank   Rank
 	st     Status
+	base   Ref
 	begun  uint64
 	loaded map[Ref]bool
 	paused atomic.Int64
@@ -212,6 +213,7 @@
 
 func (e *fakeEngine) Use(_ context.Context, order OrderUse) error {
 	defer e.lock(order.Token)()
+	e.base = e.st.InForce
 	e.st.Held, e.st.Switched = Proposal{}, order.Proposal
 	e.st.InForce, e.st.Ready = order.Map, Ref{}
 	return nil
