mapswitch: mix the hashes of explored states without cancelling

Cause: the hash of a world added the hashes of its parts with a constant factor, and with some seeds two worlds cancelled out.

--- a/mapswitch/carry_test.go
+++ b/mapswitch/carry_test.go
@@ -1,6 +1,7 @@
 package mapswitch
 
 import (
+	"fmt"
 	"hash/maphash"
 	"slices"
 )
@@ -73,7 +74,8 @@
 		m.Reason = ReasonNone
 		env.Msg = m
 	}
-	f := flight{env, maphash.Comparable(hashSeed, env)}
+	kind := maphash.String(hashSeed, fmt.Sprintf("%T", env.Msg))
+	f := flight{env, mix(kind, maphash.Comparable(hashSeed, env))}
 	if !slices.Contains(w.net, f) {
 		w.net = append(w.net, f)
 	}
--- a/mapswitch/model_test.go
+++ b/mapswitch/model_test.go
@@ -104,11 +104,14 @@
 		loading OrderLoad
 	}{i, n.up, n.part, n.coord.coordinatorState, n.engine, n.op, n.loading})
 	for _, p := range n.coord.peers {
-		sum = sum*31 + maphash.Comparable(hashSeed, p)
+		sum = mix(sum, maphash.Comparable(hashSeed, p))
 	}
-	return sum | 1
+	return sum
 }
 
+// mix is not linear, so that differences in two parts do not cancel out.
+func mix(a, b uint64) uint64 { return maphash.Comparable(hashSeed, [2]uint64{a, b}) }
+
 func (w *world) hash() uint64 {
 	sum := maphash.Comparable(hashSeed, struct {
 		record            Record
@@ -121,7 +124,7 @@
 		if w.keys[i] == 0 {
 			w.keys[i] = w.nodes[i].hash(i)
 		}
-		sum = sum*31 + w.keys[i]
+		sum = mix(sum, w.keys[i])
 	}
 	for _, m := range w.net {
 		sum += m.key
