--- a/internal/measure/capacity/main.go
+++ b/internal/measure/capacity/main.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"os"
 	"runtime"
 	"slices"
@@ -75,7 +77,9 @@
 		os.Exit(2)
 	}
 	klog.LogToStderr(false)
-	klog.SetOutput(discard{})
+	klog.SetOutput(io.Discard)
+	// The library of HTTP reports broken connections there.
+	log.SetOutput(io.Discard)
 	runtime.GOMAXPROCS(o.Procs)
 	if err := measure(&o); err != nil {
 		os.Stderr.WriteString("capacity: " + err.Error() + "\n")
@@ -83,12 +87,6 @@
 	}
 }
 
-// discard drops the logs of the measured parts.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
-
 // measure runs the parts that the options ask for.
 func measure(o *options) error {
 	r := &report{out: os.Stdout, plots: o.Plots}
--- a/internal/measure/capacity/nodes.go
+++ b/internal/measure/capacity/nodes.go
@@ -45,6 +45,7 @@
 	cores := &series{name: "agent-cpu", x: "real agents", y: "percent of a core", at: processes, limit: limitCorePercent}
 	bytes := &series{name: "agent-bytes", x: "real agents", y: "bytes a second, both ways", at: processes, limit: limitBytes}
 	heap := &series{name: "agent-memory", x: "real agents", y: "KB", at: processes, limit: limitHeapKB}
+	conns := &series{name: "agent-connections", x: "real agents", y: "open connections of a node, both kinds", at: processes}
 	reads := &series{name: "agent-table-reads", x: "real agents", y: "table reads a second of all together", at: processes}
 	change := &series{name: "agent-change-bytes", x: "real agents", y: "KB for each node and change", at: processes}
 	changeCores := &series{name: "agent-change-cpu", x: "real agents", y: "core milliseconds for each node and change", at: processes}
@@ -61,6 +62,7 @@
 		pause(ctx, nodesStart)
 		n, readsBefore := float64(size), f.table.Counts().Reads
 		rest := f.spend(size, func() error { pause(ctx, nodesRest); return nil })
+		conns.add(n, 2*float64(f.counter.open.Load())/n)
 		reads.add(n, float64(f.table.Counts().Reads-readsBefore)/nodesRest.Seconds())
 		cores.add(n, rest.cores)
 		bytes.add(n, rest.bytes)
@@ -77,7 +79,7 @@
 		changeCores.add(n, (changed.cores-rest.cores)*changed.seconds*10)
 		f.stop()
 	}
-	return []*series{cores, bytes, heap, reads, change, changeCores}, nil
+	return []*series{cores, bytes, heap, conns, reads, change, changeCores}, nil
 }
 
 // nodeSpending is what one node spends a second.
--- a/internal/measure/capacity/usage.go
+++ b/internal/measure/capacity/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -54,9 +55,9 @@
 	}
 }
 
-// counter counts the bytes and the connections of listeners.
+// counter counts the bytes and the open connections of listeners.
 type counter struct {
-	bytes, conns atomic.Int64
+	bytes, open atomic.Int64
 }
 
 // countedListener counts the bytes that its connections carry, both ways.
@@ -71,25 +72,32 @@
 	if err != nil {
 		return nil, err
 	}
-	l.counter.conns.Add(1)
-	return countedConn{Conn: conn, counter: l.counter}, nil
+	l.counter.open.Add(1)
+	return &countedConn{Conn: conn, counter: l.counter}, nil
 }
 
 // countedConn is a connection whose bytes are counted.
 type countedConn struct {
 	net.Conn
 	counter *counter
+	closed  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.closed.Do(func() { c.counter.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
-func (c countedConn) Read(b []byte) (int, error) {
+func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.counter.bytes.Add(int64(n))
 	return n, err
 }
 
 // Write implements net.Conn.
-func (c countedConn) Write(b []byte) (int, error) {
+func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.counter.bytes.Add(int64(n))
 	return n, err
--- a/internal/measure/capacity/wire.go
+++ b/internal/measure/capacity/wire.go
@@ -131,29 +131,55 @@
 	return []*series{bytes, cores}, nil
 }
 
-// measureConnections measures the memory of an idle connection between two
-// processes, both ends together.
+const (
+	idleWindow = 5 * time.Second
+	// pingOverhead is what the IP and TCP headers add to a ping and its answer:
+	// two segments, each of which carries an acknowledgement, and one more.
+	pingOverhead = 3 * 52
+	// pingBytes is the size of a ping and its answer as the counter sees them.
+	pingBytes = 2 * 17
+)
+
+// measureConnections measures what idle connections between processes cost,
+// both ends together: memory, and the pings that show that they live.
 func measureConnections(ctx context.Context, _ *options) ([]*series, error) {
-	both := &series{name: "connection-memory", x: "open connections", y: "KB at both ends together", at: processes}
+	heap := &series{name: "connection-memory", x: "open connections", y: "KB at both ends together", at: processes}
+	bytes := &series{name: "connection-bytes", x: "open connections", y: "bytes a second, lower layers included", at: processes}
+	cores := &series{name: "connection-cpu", x: "open connections", y: "percent of a core at both ends together", at: processes}
 	for _, size := range []int{16, 64, 256, 512} {
 		w, err := newWire()
 		if err != nil {
 			return nil, err
 		}
 		before := memory()
-		transports := make([]*peer.Transport, size)
-		for i := range transports {
-			transports[i] = w.security.Transport()
-			client := cyclamenpointv1connect.NewPeerServiceClient(&http.Client{Transport: transports[i]}, w.security.BaseURL(w.address))
-			if _, err := client.ReportDemand(ctx, connect.NewRequest(&pb.ReportDemandRequest{Entry: strconv.Itoa(i)})); err != nil {
-				return nil, err
-			}
+		transports, err := w.connect(ctx, size)
+		if err != nil {
+			return nil, err
 		}
-		both.add(float64(size), (memory()-before)/1024)
+		heap.add(float64(size), (memory()-before)/1024)
+		carried, used, start := w.counter.bytes.Load(), cpu(), time.Now()
+		pause(ctx, idleWindow)
+		seconds := time.Since(start).Seconds()
+		payload := float64(w.counter.bytes.Load()-carried) / seconds
+		bytes.add(float64(size), payload*(1+pingOverhead/float64(pingBytes)))
+		cores.add(float64(size), 100*(cpu()-used).Seconds()/seconds)
 		for _, t := range transports {
 			t.CloseIdleConnections()
 		}
 		w.close()
 	}
-	return []*series{both}, nil
+	return []*series{heap, bytes, cores}, nil
+}
+
+// connect opens size connections, each from a process's own set.
+func (w *wire) connect(ctx context.Context, size int) ([]*peer.Transport, error) {
+	transports := make([]*peer.Transport, size)
+	for i := range transports {
+		transports[i] = w.security.Transport()
+		client := cyclamenpointv1connect.NewPeerServiceClient(&http.Client{Transport: transports[i]}, w.security.BaseURL(w.address))
+		if _, err := client.ReportDemand(ctx, connect.NewRequest(&pb.ReportDemandRequest{Entry: strconv.Itoa(i)})); err != nil {
+			return nil, err
+		}
+	}
+	return transports, nil
 }
