--- a/internal/measure/capacity/main.go
+++ b/internal/measure/capacity/main.go
@@ -27,7 +27,8 @@
 	groupRanks    = 32
 	layerExperts  = 128
 	largestLayers = 60
-	groups        = 28
+	// groups is how many groups of groupRanks the workers make.
+	groups = workers / groupRanks
 )
 
 // The limits of control for one node and for the table service.
--- a/internal/measure/latency/load/load.go
+++ b/internal/measure/latency/load/load.go
@@ -50,6 +50,9 @@
 	Delay *hdrhistogram.Histogram
 	// Whole counts the streams that ended with their terminator, Failed others.
 	Whole, Failed int
+	// Refused and Cut count, of Failed, the calls that were answered with a
+	// status and the streams that broke off after their first token.
+	Refused, Cut int
 	// Fault is the first failure.
 	Fault error
 }
@@ -134,6 +137,12 @@
 		return
 	}
 	g.result.Failed++
+	if errors.As(err, new(*StatusError)) {
+		g.result.Refused++
+	}
+	if errors.As(err, new(*CutError)) {
+		g.result.Cut++
+	}
 	if g.result.Fault == nil {
 		g.result.Fault = err
 	}
--- a/internal/measure/latency/main.go
+++ b/internal/measure/latency/main.go
@@ -35,8 +35,7 @@
 }
 
 const (
-	slots  = 512
-	warmUp = time.Second
+	slots = 512
 	// The ways of the calls.
 	wayDirect  = "direct"
 	wayThrough = "through"
@@ -82,8 +81,10 @@
 // compare measures both ways with a number of streams and prints the difference.
 func compare(ctx context.Context, o *options, layout site.Layout, streams int) error {
 	var results []load.Result
+	// The first streams start over the length of one, so that all are spread.
+	length := o.Step * time.Duration(o.Tokens)
 	for _, way := range []struct{ name, url string }{{wayDirect, layout.EngineURL(0)}, {wayThrough, layout.Callers()}} {
-		g := load.New(load.Options{URL: way.url, Streams: streams, Tokens: o.Tokens, For: o.For, Ramp: o.Step, Skip: warmUp})
+		g := load.New(load.Options{URL: way.url, Streams: streams, Tokens: o.Tokens, For: o.For + length, Ramp: length, Skip: length})
 		used := processorTime()
 		r, err := profiled(ctx, o, way.name, g)
 		if err != nil {
