Wire placement and the map switch into the agents

The agents of a rank group find a coordinator by lease, collect expert load counts, decide and put maps in force on the engine stand-ins.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,6 +18,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/entry"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/node"
 	"github.com/cyclamenpoint/cyclamenpoint/objectstore"
 	"github.com/cyclamenpoint/cyclamenpoint/peer"
@@ -41,6 +42,10 @@
 	restartTime    = time.Second
 	vmListLag      = 2 * time.Second
 	reportLag      = 200 * time.Millisecond
+	loadTime       = 20 * time.Millisecond
+	windowSteps    = 25
+	driftSteps     = 6000
+	expertSeed     = 1
 	cacheBlocks    = 4096
 	prefillBlocks  = 16
 	maxTokens      = 10_000
@@ -180,7 +185,10 @@
 
 // startEndpoints starts the engines and workers and adds them to deploy.
 func (d *Demo) startEndpoints(deploy *deployment.Deployment) error {
+	group := deploy.Groups[0]
 	d.engines = enginestandin.NewGroup(enginestandin.Options{
+		Shape:    expertmap.Shape{Layers: group.Layers, Experts: group.Experts, Ranks: engines, Slots: group.Slots},
+		LoadTime: loadTime, WindowSteps: windowSteps, DriftSteps: driftSteps, Seed: expertSeed,
 		Model: demoModel, Ranks: engines, Step: d.opts.Step, Slots: engineSlots, PrefillPerStep: prefillBlocks,
 		CacheBlocks: cacheBlocks, ReportLag: reportLag, Restart: restartTime, CrashOn: d.opts.CrashOn,
 	})
--- a/node/agent.go
+++ b/node/agent.go
@@ -28,6 +28,10 @@
 	settings *settings.Agent
 	// agent is nil until the configuration has told of the endpoint.
 	agent atomic.Pointer[agent.Agent]
+	// group is nil until then too, and for a service worker.
+	group atomic.Pointer[group]
+	// dead is true once the agent has been aborted.
+	dead atomic.Bool
 }
 
 // EndpointError tells that an agent's endpoint is not in the configuration.
@@ -49,7 +53,7 @@
 		return nil, err
 	}
 	n := &Agent{core: c, settings: s}
-	service := &service{core: c, inFlight: n.inFlight}
+	service := &service{core: c, inFlight: n.inFlight, groups: n.groupStatus}
 	if err := c.start(sockets, service, n.handle); err != nil {
 		c.close()
 		return nil, err
@@ -67,6 +71,7 @@
 // handle passes attempts to the agent once there is one. Until then its answer
 // proves nothing but that the process lives.
 func (n *Agent) handle(mux *http.ServeMux) {
+	n.handlePlacement(mux)
 	path, _ := (&agent.Agent{}).Handler()
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		a := n.agent.Load()
@@ -113,6 +118,7 @@
 	}
 	n.agent.Store(a)
 	klog.Infof("agent: serving endpoint %s at %s, incarnation %d.", endpoint.Name, endpoint.Address, n.core.incarnation)
+	n.servePlacement(ctx, endpoint)
 	a.Run(ctx)
 }
 
@@ -160,4 +166,7 @@
 
 // Abort ends the agent at once, as the death of its process does: calls break
 // off, and nothing more is written.
-func (n *Agent) Abort() { n.core.abort() }
+func (n *Agent) Abort() {
+	n.dead.Store(true)
+	n.core.abort()
+}
--- a/node/service.go
+++ b/node/service.go
@@ -18,6 +18,8 @@
 
 	core     *core
 	inFlight func() int
+	// groups returns the state of the node's rank group; nil for an entry node.
+	groups func() []*pb.GroupStatus
 }
 
 // Status implements the operators' call.
@@ -38,6 +40,9 @@
 		resp.ConfigHash = snap.Hash
 		resp.ConfigAgeMillis = time.Since(snap.Since).Milliseconds()
 	}
+	if s.groups != nil {
+		resp.Groups = s.groups()
+	}
 	held := c.census.news()
 	for _, m := range c.members.Members() {
 		resp.Nodes = append(resp.Nodes, &pb.NodeStatus{
--- /dev/null
+++ b/placer/rpc/rpc.go
@@ -0,0 +1,177 @@
+// Package rpc carries the load reports of package placer between the agents of
+// a rank group.
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/mapswitch"
+	"github.com/cyclamenpoint/cyclamenpoint/placer"
+)
+
+// noWindow is the window before all others.
+const noWindow = -1
+
+// RankError says that a query was meant for another rank or group.
+type RankError struct {
+	Group string
+	Rank  uint32
+}
+
+// Error implements error.
+func (e *RankError) Error() string {
+	return fmt.Sprintf("a query for rank %d of group %q reached another agent", e.Rank, e.Group)
+}
+
+// StaleTokenError says that a newer coordinator has asked before.
+type StaleTokenError struct{ Token, Newest uint64 }
+
+// Error implements error.
+func (e *StaleTokenError) Error() string {
+	return fmt.Sprintf("token %d is older than %d", e.Token, e.Newest)
+}
+
+// News is what the group's coordinator has last told of itself.
+type News struct {
+	Token       uint64
+	Coordinator string
+	Skew        float64
+}
+
+// Experts reads an engine's report with the windows after the given one.
+type Experts interface {
+	Experts(ctx context.Context, after int64) (engine.Experts, error)
+}
+
+// Server serves PlacementService beside one engine. It may be called from any
+// goroutine.
+type Server struct {
+	group  string
+	rank   uint32
+	engine Experts
+
+	mu   sync.Mutex
+	news News
+}
+
+var _ cyclamenpointv1connect.PlacementServiceHandler = (*Server)(nil)
+
+// NewServer returns the server beside an engine.
+func NewServer(group string, rank mapswitch.Rank, e Experts) *Server {
+	return &Server{group: group, rank: uint32(rank), engine: e}
+}
+
+// News returns what the coordinator with the newest token has told.
+func (s *Server) News() News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.news
+}
+
+// Collect implements PlacementServiceHandler. A query for another agent is an
+// invalid argument, one with an old token a failed precondition; an engine that
+// does not answer is unavailable.
+func (s *Server) Collect(ctx context.Context, req *connect.Request[pb.CollectRequest]) (*connect.Response[pb.CollectResponse], error) {
+	q := req.Msg
+	if q.Group != s.group || q.Rank != s.rank {
+		return nil, connect.NewError(connect.CodeInvalidArgument, &RankError{q.Group, q.Rank})
+	}
+	if err := s.hear(q); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	e, err := s.engine.Experts(ctx, q.AfterWindow)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(answer(q, e)), nil
+}
+
+func (s *Server) hear(q *pb.CollectRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q.Token < s.news.Token {
+		return &StaleTokenError{q.Token, s.news.Token}
+	}
+	s.news = News{Token: q.Token, Coordinator: q.Coordinator, Skew: q.Skew}
+	return nil
+}
+
+func answer(q *pb.CollectRequest, e engine.Experts) *pb.CollectResponse {
+	resp := &pb.CollectResponse{
+		Engine: e.Engine, Epoch: e.Epoch, Step: e.Step,
+		InForce: &pb.MapRef{Version: e.InForce.Version, Hash: e.InForce.Hash},
+	}
+	if q.Map {
+		resp.Map = e.Map
+	}
+	for _, expert := range e.Loaded {
+		resp.Loaded = append(resp.Loaded, uint32(expert))
+	}
+	if !q.Counts {
+		return resp
+	}
+	for _, w := range e.Windows {
+		if w.Epoch == e.Epoch {
+			resp.Windows = append(resp.Windows, &pb.ExpertWindow{Window: w.Window, Counts: w.Counts})
+		}
+	}
+	return resp
+}
+
+// Source asks the agents of one group. It implements placer.Source.
+type Source struct {
+	group   string
+	name    string
+	clients map[mapswitch.Rank]cyclamenpointv1connect.PlacementServiceClient
+}
+
+var _ placer.Source = (*Source)(nil)
+
+// NewSource returns a source that reaches each rank at its base URL and asks
+// in the name of the given process.
+func NewSource(group, name string, client connect.HTTPClient, urls map[mapswitch.Rank]string) *Source {
+	s := &Source{group: group, name: name, clients: make(map[mapswitch.Rank]cyclamenpointv1connect.PlacementServiceClient)}
+	for r, url := range urls {
+		s.clients[r] = cyclamenpointv1connect.NewPlacementServiceClient(client, url)
+	}
+	return s
+}
+
+// Report implements placer.Source.
+func (s *Source) Report(ctx context.Context, rank mapswitch.Rank, q placer.Query) (placer.Report, error) {
+	client, ok := s.clients[rank]
+	if !ok {
+		return placer.Report{}, &RankError{s.group, uint32(rank)}
+	}
+	resp, err := client.Collect(ctx, connect.NewRequest(&pb.CollectRequest{
+		Group: s.group, Rank: uint32(rank), Token: q.Token, Coordinator: s.name, Skew: q.Skew,
+		Counts: q.Counts, AfterWindow: max(q.After, noWindow), Map: q.Map,
+	}))
+	if err != nil {
+		return placer.Report{}, errors.Wrapf(err, "collect from rank %d", rank)
+	}
+	return report(resp.Msg), nil
+}
+
+func report(m *pb.CollectResponse) placer.Report {
+	r := placer.Report{
+		Engine: m.Engine, Epoch: m.Epoch, Step: m.Step, Map: m.Map,
+		InForce: mapswitch.Ref{Version: m.InForce.GetVersion(), Hash: m.InForce.GetHash()},
+	}
+	for _, expert := range m.Loaded {
+		r.Loaded = append(r.Loaded, expertmap.Expert(expert))
+	}
+	for _, w := range m.Windows {
+		r.Windows = append(r.Windows, placer.Window{Window: w.Window, Counts: w.Counts})
+	}
+	return r
+}
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 )
 
 // Options describe a group of stand-in engines.
@@ -33,6 +35,16 @@
 	// CrashOn is a text whose presence in a prompt crashes the rank that runs
 	// it. Empty crashes none.
 	CrashOn string
+	// Shape is that of the group's expert maps. Without one the group needs no
+	// orders to run; with one it runs once it has been formed.
+	Shape expertmap.Shape
+	// LoadTime is how long the weight store takes for one expert.
+	LoadTime time.Duration
+	// WindowSteps is the number of steps of a window of expert load counts, and
+	// DriftSteps that in which demand drifts once round.
+	WindowSteps, DriftSteps uint64
+	// Seed fixes the demand on the experts.
+	Seed uint64
 }
 
 // Group is a rank group in lock-step: no rank advances while one is down or
@@ -100,21 +112,63 @@
 
 // advance runs one step on all ranks, or on none.
 func (g *Group) advance() {
-	g.mu.Lock()
-	stalled := time.Now().Before(g.until)
-	g.mu.Unlock()
-	if stalled {
+	ranks := g.begin()
+	if len(ranks) == 0 {
 		return
 	}
-	for _, r := range g.ranks {
-		if !r.ready() {
-			return
-		}
-	}
-	for _, r := range g.ranks {
+	for _, r := range ranks {
 		r.runStep()
 	}
 	g.mu.Lock()
 	g.step++
 	g.mu.Unlock()
 }
+
+// begin returns the ranks that run the next step, and records it. No order
+// comes between the ranks.
+func (g *Group) begin() []*Rank {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Now().Before(g.until) {
+		return nil
+	}
+	if g.opts.Shape == (expertmap.Shape{}) {
+		return g.readyRanks(g.ranks)
+	}
+	ranks := g.readyRanks(g.members())
+	for _, r := range ranks {
+		same := r.orders.st.Epoch == ranks[0].orders.st.Epoch && r.orders.st.Step == ranks[0].orders.st.Step
+		if !same || !r.orders.mayBegin() {
+			return nil
+		}
+	}
+	for _, r := range ranks {
+		r.orders.begin(r.index)
+	}
+	return ranks
+}
+
+// members returns the ranks of the newest epoch.
+func (g *Group) members() []*Rank {
+	newest := g.ranks[0]
+	for _, r := range g.ranks {
+		if r.orders.st.Epoch > newest.orders.st.Epoch {
+			newest = r
+		}
+	}
+	var members []*Rank
+	for rank := range newest.orders.st.Members.All() {
+		members = append(members, g.ranks[rank])
+	}
+	return members
+}
+
+// readyRanks returns the ranks if all are up, or none.
+func (g *Group) readyRanks(ranks []*Rank) []*Rank {
+	for _, r := range ranks {
+		if !r.ready() {
+			return nil
+		}
+	}
+	return ranks
+}
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
 )
 
 // Header fields of the stand-in's protocol.
@@ -49,8 +51,10 @@
 	router.Get("/load", r.load)
 	router.Get("/cache/events", r.cacheEvents)
 	router.Get("/requests/{id}", r.request)
-	router.Post("/orders", r.order)
-	router.Get("/orders", r.orderState)
+	router.Post(engine.PathAttach, r.attach)
+	router.Post(engine.PathOrders, r.order)
+	router.Get(engine.PathOrders, r.stepNow)
+	router.Get(engine.PathExperts, r.experts)
 	return router
 }
 
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -3,111 +3,208 @@
 import (
 	"encoding/json"
 	"net/http"
-)
+	"strconv"
+	"time"
 
-// OrderKind is what an order asks for.
-type OrderKind string
-
-// The kinds of order.
-const (
-	// OrderLoad loads the experts of a map beside those in use.
-	OrderLoad OrderKind = "load"
-	// OrderMap puts a loaded map in force from a step on.
-	OrderMap OrderKind = "map"
-	// OrderModel loads a model or adapter.
-	OrderModel OrderKind = "model"
-	// OrderRole changes the engine's role.
-	OrderRole OrderKind = "role"
+	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/mapswitch"
 )
 
-// Order is one order to an engine.
-type Order struct {
-	Kind OrderKind `json:"kind"`
-	// Fencing is the orderer's fencing token.
-	Fencing uint64 `json:"fencing"`
-	// Name is the map's version, the model or the role.
-	Name string `json:"name"`
-	// Step is the first step on a new map.
-	Step int64 `json:"step,omitempty"`
+// StepRecord is a step that a rank has run.
+type StepRecord struct {
+	Rank  int
+	Epoch uint64
+	Step  uint64
+	Map   mapswitch.Ref
+	// Loaded is true if all experts of the rank in the map were in its memory.
+	Loaded bool
+	At     time.Time
+}
+
+// OrderRecord is an order that a rank has carried out.
+type OrderRecord struct {
+	Kind    engine.OrderKind
+	Fencing uint64
 }
 
-// orderBook holds an engine's orders and its record of steps.
+// keptRecords bounds the records of steps and of orders.
+const keptRecords = 1 << 16
+
+// orderBook is a rank's part in a collective: what it was ordered, what its
+// memory holds and which steps it ran. The group's lock guards it.
 type orderBook struct {
+	session uint64
 	fencing uint64
-	loaded  map[string]bool
-	current string
-	next    string
-	nextAt  int64
-	step    int64
-	history []Order
-}
-
-// advance counts a step and puts a due map in force.
-func (b *orderBook) advance() {
-	b.step++
-	if b.next != "" && b.step >= b.nextAt {
-		b.current = b.next
-		b.next = ""
+	left    bool
+	st      mapswitch.Status
+	// using is the map of the step before; it changes at Switched.Step.
+	using  mapswitch.Ref
+	maps   map[mapswitch.Ref]expertmap.Map
+	memory [][]expertmap.Expert
+	steps  []StepRecord
+	orders []OrderRecord
+	counts expertCounts
+}
+
+func newOrderBook(opts Options, index int, incarnation uint64) orderBook {
+	b := orderBook{maps: make(map[mapswitch.Ref]expertmap.Map), counts: newExpertCounts(opts, index)}
+	b.st.Engine = incarnation
+	for range opts.Shape.Layers {
+		row := make([]expertmap.Expert, opts.Shape.Slots)
+		for i := range row {
+			row[i] = expertmap.Empty
+		}
+		b.memory = append(b.memory, row)
+	}
+	return b
+}
+
+// restart loses all that a process loses when it dies. The records are kept.
+func (b *orderBook) restart(opts Options, index int) {
+	fresh := newOrderBook(opts, index, b.st.Engine+1)
+	fresh.session = b.session + 1
+	fresh.steps, fresh.orders = b.steps, b.orders
+	*b = fresh
+}
+
+// mayBegin tells whether the rank may begin its next step.
+func (b *orderBook) mayBegin() bool {
+	return b.st.Epoch > 0 && !b.left && (b.st.Held.Step == 0 || b.st.Step < b.st.Held.Step)
+}
+
+// begin runs the next step on the map that is due.
+func (b *orderBook) begin(rank int) {
+	if b.st.Switched.Step > 0 && b.st.Step >= b.st.Switched.Step {
+		b.using = b.st.Switched.Map
+	}
+	r := StepRecord{rank, b.st.Epoch, b.st.Step, b.using, b.holds(rank, b.maps[b.using]), time.Now()}
+	b.steps = appendBounded(b.steps, r)
+	b.counts.step(b.st.Epoch, b.st.Step)
+	b.st.Step++
+}
+
+func appendBounded[T any](records []T, r T) []T {
+	if len(records) >= keptRecords {
+		records = append([]T(nil), records[keptRecords/2:]...)
 	}
+	return append(records, r)
 }
 
-// OrderState is what the engine says of its orders.
-type OrderState struct {
-	Fencing uint64   `json:"fencing"`
-	Map     string   `json:"map"`
-	Next    string   `json:"next,omitempty"`
-	NextAt  int64    `json:"next_at,omitempty"`
-	Loaded  []string `json:"loaded"`
-	Step    int64    `json:"step"`
+// holds tells whether the memory holds the rank's experts of a map.
+func (b *orderBook) holds(rank int, m expertmap.Map) bool {
+	if m.Shape().Layers != len(b.memory) {
+		return false
+	}
+	for layer, row := range b.memory {
+		for slot, e := range m.Rank(layer, rank) {
+			if e != expertmap.Empty && row[slot] != e {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Steps returns the newest steps that the rank has run, oldest first.
+func (r *Rank) Steps() []StepRecord {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return append([]StepRecord(nil), r.orders.steps...)
+}
+
+// Orders returns the newest orders that the rank has carried out, oldest first.
+func (r *Rank) Orders() []OrderRecord {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return append([]OrderRecord(nil), r.orders.orders...)
+}
+
+func (r *Rank) attach(w http.ResponseWriter, _ *http.Request) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	r.orders.session++
+	writeJSON(w, engine.Attached{Session: r.orders.session, Status: r.orders.st})
+}
+
+func (r *Rank) stepNow(w http.ResponseWriter, req *http.Request) {
+	session, _ := strconv.ParseUint(req.URL.Query().Get("session"), 10, 64)
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	if session != r.orders.session {
+		http.Error(w, "session: a newer one is attached", http.StatusConflict)
+		return
+	}
+	writeJSON(w, engine.StepResult{Step: r.orders.st.Step})
 }
 
 func (r *Rank) order(w http.ResponseWriter, req *http.Request) {
-	var o Order
+	var o engine.Order
 	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
 		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.group.opts.ChecksFencing && o.Fencing < r.orders.fencing {
-		http.Error(w, "fencing: an order with a newer token came before", http.StatusPreconditionFailed)
+	if o.Kind == engine.KindLoad {
+		r.loadExperts(w, req, o)
 		return
 	}
-	r.orders.fencing = max(r.orders.fencing, o.Fencing)
-	r.orders.history = append(r.orders.history, o)
-	if status := r.orders.take(o); status != http.StatusOK {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	if status := r.admit(o); status != http.StatusOK {
+		http.Error(w, "the order was refused", status)
+		return
+	}
+	ok, status := r.orders.take(o)
+	if status != http.StatusOK {
 		http.Error(w, "the order cannot be carried out", status)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	writeJSON(w, engine.HoldResult{OK: ok})
 }
 
-func (b *orderBook) take(o Order) int {
+// admit checks an order's session and, by option, its fencing token. The
+// group's lock is held.
+func (r *Rank) admit(o engine.Order) int {
+	b := &r.orders
+	if o.Session != b.session {
+		return http.StatusConflict
+	}
+	if r.group.opts.ChecksFencing && o.Fencing < b.fencing {
+		return http.StatusPreconditionFailed
+	}
+	b.fencing = max(b.fencing, o.Fencing)
+	b.orders = appendBounded(b.orders, OrderRecord{o.Kind, o.Fencing})
+	return http.StatusOK
+}
+
+// take carries out an order other than a load.
+func (b *orderBook) take(o engine.Order) (ok bool, status int) {
+	p := o.Proposal
 	switch o.Kind {
-	case OrderLoad:
-		if b.loaded == nil {
-			b.loaded = make(map[string]bool)
+	case engine.KindHold:
+		if p.Epoch != b.st.Epoch || p.Step < b.st.Step {
+			return false, http.StatusOK
 		}
-		b.loaded[o.Name] = true
-	case OrderMap:
-		if !b.loaded[o.Name] || o.Step <= b.step {
-			return http.StatusConflict
-		}
-		b.next = o.Name
-		b.nextAt = o.Step
-	case OrderModel, OrderRole:
+		b.st.Held = p
+	case engine.KindUse:
+		b.st.Held, b.st.Switched = mapswitch.Proposal{}, p
+		b.st.InForce, b.st.Ready = p.Map, mapswitch.Ref{}
+	case engine.KindRelease:
+		b.st.Held = mapswitch.Proposal{}
+	case engine.KindLeave:
+		b.left = true
+	case engine.KindForm:
+		b.form(p)
 	default:
-		return http.StatusBadRequest
+		return false, http.StatusBadRequest
 	}
-	return http.StatusOK
+	return true, http.StatusOK
 }
 
-func (r *Rank) orderState(w http.ResponseWriter, _ *http.Request) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	state := OrderState{Fencing: r.orders.fencing, Map: r.orders.current, Next: r.orders.next, NextAt: r.orders.nextAt, Step: r.orders.step}
-	for name := range r.orders.loaded {
-		state.Loaded = append(state.Loaded, name)
+func (b *orderBook) form(p mapswitch.Proposal) {
+	st := mapswitch.Status{Engine: b.st.Engine, Epoch: p.Epoch, Members: p.Members, InForce: p.Map, Ready: b.st.Ready}
+	if st.Ready == p.Map {
+		st.Ready = mapswitch.Ref{}
 	}
-	writeJSON(w, state)
+	b.st, b.using, b.left = st, p.Map, false
 }
--- a/standin/engine/rank.go
+++ b/standin/engine/rank.go
@@ -51,7 +51,10 @@
 }
 
 func newRank(g *Group, index int) *Rank {
-	return &Rank{group: g, index: index, jobs: make(map[string]*job), cache: newPrefixCache(g.opts.CacheBlocks)}
+	return &Rank{
+		group: g, index: index, jobs: make(map[string]*job), cache: newPrefixCache(g.opts.CacheBlocks),
+		orders: newOrderBook(g.opts, index, 1),
+	}
 }
 
 // Runs returns the identifiers of the requests that this rank has begun.
@@ -90,8 +93,16 @@
 
 func (r *Rank) crash() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.crashLocked()
+	r.mu.Unlock()
+	r.forget()
+}
+
+// forget ends the crashed process's part in its collective.
+func (r *Rank) forget() {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	r.orders.restart(r.group.opts, r.index)
 }
 
 func (r *Rank) crashLocked() {
@@ -157,12 +168,20 @@
 
 // runStep admits waiting requests and computes one token for each running one.
 func (r *Rank) runStep() {
+	if r.runStepSafely() {
+		return
+	}
+	r.forget()
+}
+
+// runStepSafely returns false if the step crashed the rank.
+func (r *Rank) runStepSafely() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admitLocked()
 	if r.poisonedLocked() {
 		r.crashLocked()
-		return
+		return false
 	}
 	kept := r.running[:0]
 	for _, j := range r.running {
@@ -171,9 +190,9 @@
 		}
 	}
 	r.running = kept
-	r.orders.advance()
 	r.reports = append(r.reports, report{at: time.Now(), waiting: len(r.waiting), running: len(r.running)})
 	r.trimReports()
+	return true
 }
 
 func (r *Rank) admitLocked() {
