--- /dev/null
+++ b/demo/await.go
@@ -0,0 +1,22 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// awaitSteps waits until the rank group has its first epoch and runs steps.
+func (d *Demo) awaitSteps(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for d.engines.Step() == 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for the rank group's first step")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -127,7 +127,7 @@
 	return d.awaitReady()
 }
 
-// awaitReady waits until the entry nodes may serve.
+// awaitReady waits until the entry nodes may serve and the rank group runs.
 func (d *Demo) awaitReady() error {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
@@ -142,7 +142,7 @@
 			}
 		}
 	}
-	return nil
+	return d.awaitSteps(ctx)
 }
 
 // startPlatform starts the platform's stand-ins.
--- a/demo/placement_test.go
+++ b/demo/placement_test.go
@@ -2,21 +2,186 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
+	"github.com/cyclamenpoint/cyclamenpoint/mapswitch"
+	"github.com/cyclamenpoint/cyclamenpoint/node"
+	"github.com/cyclamenpoint/cyclamenpoint/peer"
+	"github.com/cyclamenpoint/cyclamenpoint/settings"
+	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
+	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
 )
 
-func TestMapsComeIntoForce(t *testing.T) {
-	d, err := Start(Options{Step: 20 * time.Millisecond})
+// switchStep is short, so that many steps pass.
+const switchStep = 20 * time.Millisecond
+
+// stepKey names a step of the group.
+type stepKey struct{ epoch, step uint64 }
+
+// checkSteps reads nothing but the ranks' records. It returns what is wrong
+// with them.
+func checkSteps(records []enginestandin.StepRecord) []string {
+	var wrong []string
+	maps := make(map[stepKey]mapswitch.Ref)
+	for _, r := range records {
+		key := stepKey{r.Epoch, r.Step}
+		if other, ok := maps[key]; ok && other != r.Map {
+			wrong = append(wrong, fmt.Sprintf("epoch %d step %d ran on maps %v and %v", r.Epoch, r.Step, other, r.Map))
+		}
+		maps[key] = r.Map
+		if !r.Loaded {
+			wrong = append(wrong, fmt.Sprintf("rank %d ran step %d without its experts", r.Rank, r.Step))
+		}
+	}
+	return wrong
+}
+
+func stepsOf(d *Demo) []enginestandin.StepRecord {
+	var records []enginestandin.StepRecord
+	for i := range engines {
+		records = append(records, d.engines.Rank(i).Steps()...)
+	}
+	return records
+}
+
+// TestCheckerFindsFaults plants the faults that checkSteps is for.
+func TestCheckerFindsFaults(t *testing.T) {
+	a, b := mapswitch.Ref{Version: 1}, mapswitch.Ref{Version: 2}
+	good := []enginestandin.StepRecord{{Rank: 0, Epoch: 1, Step: 3, Map: a, Loaded: true}, {Rank: 1, Epoch: 1, Step: 3, Map: a, Loaded: true}}
+	assert.Equal(t, len(checkSteps(good)), 0)
+	mixed := slices.Clone(good)
+	mixed[1].Map = b
+	assert.Equal(t, len(checkSteps(mixed)), 1)
+	unloaded := slices.Clone(good)
+	unloaded[1].Loaded = false
+	assert.Equal(t, len(checkSteps(unloaded)), 1)
+}
+
+// until polls until ok.
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for !ok() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("the test ended")
+		case <-time.After(switchStep):
+		}
+	}
+}
+
+// newestOn returns the version of the map that a rank's newest step ran on.
+func newestOn(d *Demo, rank int) uint64 {
+	steps := d.engines.Rank(rank).Steps()
+	if len(steps) == 0 {
+		return 0
+	}
+	return steps[len(steps)-1].Map.Version
+}
+
+// awaitMap waits until all ranks run on a map newer than the version.
+func awaitMap(t *testing.T, d *Demo, version uint64) {
+	t.Helper()
+	until(t, func() bool {
+		for i := range engines {
+			if newestOn(d, i) <= version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// groupStatus asks the agent beside a rank.
+func groupStatus(t *testing.T, d *Demo, rank int) *pb.GroupStatus {
+	t.Helper()
+	name := d.config.Ranks(demoGroup)[rank].Name
+	i := slices.IndexFunc(d.config.Endpoints, func(e deployment.Endpoint) bool { return e.Name == name })
+	client := cyclamenpointv1connect.NewNodeServiceClient(demoClient(t), "http://"+d.operators[i])
+	resp, err := client.Status(t.Context(), connect.NewRequest(&pb.StatusRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(resp.Msg.Groups), 1)
+	return resp.Msg.Groups[0]
+}
+
+func TestMapsComeIntoForceUnderStreams(t *testing.T) {
+	const tokens = 400
+	d, err := Start(Options{Step: switchStep})
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, d.Stop(context.Background())) }()
-	for range 30 {
-		time.Sleep(time.Second)
-		s := d.engines.Rank(0).Steps()
-		if len(s) > 0 {
-			t.Log(len(s), s[len(s)-1])
+	first := newestOn(d, 0)
+	resp := openStream(t, d, "long", tokens)
+	defer resp.Body.Close()
+	awaitMap(t, d, first)
+	text, done := readStream(resp.Body)
+	assert.Assert(t, done)
+	assert.Equal(t, text, wholeText("long", tokens))
+	assert.DeepEqual(t, checkSteps(stepsOf(d)), []string(nil))
+	for _, kind := range []string{"hold", "use"} {
+		for i := range engines {
+			found := slices.ContainsFunc(d.engines.Rank(i).Orders(), func(o enginestandin.OrderRecord) bool { return string(o.Kind) == kind })
+			assert.Assert(t, found, "rank %d took no order %q", i, kind)
 		}
 	}
+	status := groupStatus(t, d, 3)
+	assert.Equal(t, status.Group, demoGroup)
+	assert.Assert(t, status.MapVersion > first)
+	assert.Assert(t, status.Epoch >= 1)
+	assert.Assert(t, status.Skew >= 1)
+	assert.Assert(t, status.Coordinator != "")
+}
+
+func TestGroupOutlivesItsCoordinatorAndTheTable(t *testing.T) {
+	d, err := Start(Options{Step: switchStep})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, d.Stop(context.Background())) }()
+	awaitMap(t, d, newestOn(d, 0))
+	coordinator := groupStatus(t, d, 0).Coordinator
+	i := slices.IndexFunc(d.config.Endpoints, func(e deployment.Endpoint) bool { return e.Name == coordinator })
+	assert.Assert(t, i >= 0)
+	d.table.SetFaults(tablestandin.Faults{Down: true})
+	d.agents[i].Abort()
+	before := d.engines.Step()
+	until(t, func() bool { return d.engines.Step() > before+100 })
+	old := newestOn(d, 0)
+	until(t, func() bool { return d.engines.Step() > before+200 })
+	assert.Equal(t, newestOn(d, 0), old, "nobody could decide")
+	d.table.SetFaults(tablestandin.Faults{})
+	d.agents[i] = restartAgent(t, d, i)
+	awaitMap(t, d, old)
+	assert.DeepEqual(t, checkSteps(stepsOf(d)), []string(nil))
+}
+
+// restartAgent starts the agent of an aborted process anew.
+func restartAgent(t *testing.T, d *Demo, i int) *node.Agent {
+	t.Helper()
+	e := d.config.Endpoints[i]
+	delete(d.sockets, e.Agent)
+	common, err := d.nodeSettings("agent-"+e.Name, e.VM, e.FailureDomain)
+	assert.NilError(t, err)
+	common.Peers = e.Agent
+	secret, err := peer.NewSecret(demoSecret)
+	assert.NilError(t, err)
+	a, err := node.StartAgent(&settings.Agent{Node: common, Endpoint: e.Name}, secret, d.sockets)
+	assert.NilError(t, err)
+	return a
+}
+
+// demoClient returns a client that the demo's nodes let in.
+func demoClient(t *testing.T) *http.Client {
+	t.Helper()
+	secret, err := peer.NewSecret(demoSecret)
+	assert.NilError(t, err)
+	security, err := peer.NewSecurity(secret, settings.TLS{})
+	assert.NilError(t, err)
+	return &http.Client{Transport: security.Transport()}
 }
