--- a/demo/placement_test.go
+++ b/demo/placement_test.go
@@ -126,6 +126,7 @@
 	assert.Assert(t, done)
 	assert.Equal(t, text, wholeText("long", tokens))
 	assert.DeepEqual(t, checkSteps(stepsOf(d)), []string(nil))
+	t.Logf("%d steps lost to holds in %d steps", d.engines.Held(), d.engines.Step())
 	for _, kind := range []string{"hold", "use"} {
 		for i := range engines {
 			found := slices.ContainsFunc(d.engines.Rank(i).Orders(), func(o enginestandin.OrderRecord) bool { return string(o.Kind) == kind })
@@ -181,7 +182,7 @@
 	t.Helper()
 	secret, err := peer.NewSecret(demoSecret)
 	assert.NilError(t, err)
-	security, err := peer.NewSecurity(secret, settings.TLS{})
+	security, err := peer.NewSecurity(secret, peer.Files{})
 	assert.NilError(t, err)
 	return &http.Client{Transport: security.Transport()}
 }
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -56,6 +56,8 @@
 	mu    sync.Mutex
 	step  int64
 	until time.Time
+	// held counts the steps that were due and not begun because of a hold.
+	held int64
 	stop  chan struct{}
 	done  chan struct{}
 }
@@ -80,6 +82,14 @@
 	return g.step
 }
 
+// Held returns how many steps were due and could not begin because a rank was
+// held, or had left its epoch, after all ranks had formed it.
+func (g *Group) Held() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held
+}
+
 // Stall holds the whole group back for d, as one slow rank does.
 func (g *Group) Stall(d time.Duration) {
 	g.mu.Lock()
@@ -138,7 +148,11 @@
 	ranks := g.readyRanks(g.members())
 	for _, r := range ranks {
 		same := r.orders.st.Epoch == ranks[0].orders.st.Epoch && r.orders.st.Step == ranks[0].orders.st.Step
-		if !same || !r.orders.mayBegin() {
+		if !same {
+			return nil
+		}
+		if !r.orders.mayBegin() {
+			g.held += min(1, int64(r.orders.st.Epoch))
 			return nil
 		}
 	}
