--- a/demo/placement_test.go
+++ b/demo/placement_test.go
@@ -68,7 +68,7 @@
 }
 
 // until polls until ok.
-func until(t *testing.T, ok func() bool) {
+func until(t testing.TB, ok func() bool) {
 	t.Helper()
 	for !ok() {
 		select {
@@ -89,7 +89,7 @@
 }
 
 // awaitMap waits until all ranks run on a map newer than the version.
-func awaitMap(t *testing.T, d *Demo, version uint64) {
+func awaitMap(t testing.TB, d *Demo, version uint64) {
 	t.Helper()
 	until(t, func() bool {
 		for i := range engines {
@@ -186,3 +186,15 @@
 	assert.NilError(t, err)
 	return &http.Client{Transport: security.Transport()}
 }
+
+// BenchmarkSwitch waits for maps to come into force and reports the steps that
+// each switch cost the group.
+func BenchmarkSwitch(b *testing.B) {
+	d, err := Start(Options{Step: switchStep})
+	assert.NilError(b, err)
+	defer func() { assert.NilError(b, d.Stop(context.Background())) }()
+	for b.Loop() {
+		awaitMap(b, d, newestOn(d, 0))
+	}
+	b.ReportMetric(float64(d.engines.Held())/float64(b.N), "lost-steps/switch")
+}
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -58,8 +58,8 @@
 	until time.Time
 	// held counts the steps that were due and not begun because of a hold.
 	held int64
-	stop  chan struct{}
-	done  chan struct{}
+	stop chan struct{}
+	done chan struct{}
 }
 
 // NewGroup starts a group. Close ends it.
