Say the same of a running claim whether or not its caller has gone

Cause: a select between a known fate and an ended context chose at random, so a caller that had gone was told 'store down' or 'in flight' for the same claim. Conclusion: a fate that is known goes first.

--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -319,8 +319,15 @@
 	return Decision{}, true, busy
 }
 
-// waitClaimed waits until a claim's fate is known, for at most BeginTimeout.
+// waitClaimed waits until a claim's fate is known, for at most BeginTimeout. A
+// fate that is known counts also when the caller has gone: which of the two is
+// noticed first must not decide what is said of the claim.
 func (l *Ledger) waitClaimed(ctx context.Context, e *entry) bool {
+	select {
+	case <-e.ready:
+		return true
+	default:
+	}
 	timer := time.NewTimer(l.settings.BeginTimeout)
 	defer timer.Stop()
 	select {
