--- a/agent/agent.go
+++ b/agent/agent.go
@@ -53,6 +53,8 @@
 	client *engine.Client
 	watch  *watch
 	gate   *quarantine.Gate
+	// handler is made once: making it costs more than a probe.
+	handler http.Handler
 }
 
 // New returns an agent. Run must be called for it to notice its endpoint's
@@ -79,6 +81,7 @@
 	client := engine.NewClient(opts.Address)
 	a := &Agent{opts: opts, ledger: ledger, queue: queue, client: client}
 	a.gate = quarantine.NewGate(opts.Quarantine, opts.Endpoint, opts.Incarnation, a.trialHere)
+	_, a.handler = cyclamenpointv1connect.NewAgentServiceHandler(a, peer.ServerOptions())
 	a.watch = newWatch(client, queue, a.gate, opts.Endpoint)
 	return a, nil
 }
@@ -91,10 +94,11 @@
 	return errors.WithStack(a.queue.Drain(ctx))
 }
 
+// Path is where an agent's interface for entry nodes is served.
+const Path = "/" + cyclamenpointv1connect.AgentServiceName + "/"
+
 // Handler returns the agent's interface for entry nodes.
-func (a *Agent) Handler() (string, http.Handler) {
-	return cyclamenpointv1connect.NewAgentServiceHandler(a, peer.ServerOptions())
-}
+func (a *Agent) Handler() http.Handler { return a.handler }
 
 // Load returns the endpoint's load now.
 func (a *Agent) Load() *pb.ProbeResponse {
--- a/node/agent.go
+++ b/node/agent.go
@@ -75,15 +75,13 @@
 // proves nothing but that the process lives.
 func (n *Agent) handle(mux *http.ServeMux) {
 	n.handlePlacement(mux)
-	path, _ := (&agent.Agent{}).Handler()
-	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc(agent.Path, func(w http.ResponseWriter, r *http.Request) {
 		a := n.agent.Load()
 		if a == nil {
 			http.Error(w, "the agent has no configuration yet", http.StatusServiceUnavailable)
 			return
 		}
-		_, handler := a.Handler()
-		handler.ServeHTTP(w, r)
+		a.Handler().ServeHTTP(w, r)
 	})
 }
 
