--- a/node/agent.go
+++ b/node/agent.go
@@ -143,9 +143,23 @@
 	}
 }
 
-// newClaims returns the ledger of the protected requests that run here.
+// claimWritesPerSecond bounds the writes to the table for the claims of all
+// agents together.
+const claimWritesPerSecond = 45
+
+// newClaims returns the ledger of the protected requests that run here. The
+// workers of all services share the writes to the table.
 func (n *Agent) newClaims() *claim.Ledger {
-	return claim.New(claim.Settings{Runner: n.settings.Endpoint, Nonce: newNonce()}, n.core.table, n.core.objects, newRandom())
+	workers := 0
+	for _, e := range n.core.holder.Current().Deployment.Endpoints {
+		if e.Kind == deployment.KindService {
+			workers++
+		}
+	}
+	share := time.Duration(workers) * time.Second / claimWritesPerSecond
+	return claim.New(claim.Settings{
+		Runner: n.settings.Endpoint, Nonce: newNonce(), FlushEvery: max(claim.DefaultFlushEvery, share),
+	}, n.core.table, n.core.objects, newRandom())
 }
 
 // Stop tells the others that the agent leaves, refuses new attempts, waits for
--- a/node/demand.go
+++ b/node/demand.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
 	"github.com/cyclamenpoint/cyclamenpoint/membership"
@@ -47,6 +48,9 @@
 	}
 	byOwner := make(map[string][]*pb.Demand)
 	for organisation, usage := range d.limiter.Demand() {
+		if !d.limited(organisation) {
+			continue
+		}
 		owner := quota.Owner(organisation, names)
 		byOwner[owner] = append(byOwner[owner], demandOf(organisation, usage))
 	}
@@ -55,6 +59,17 @@
 	}
 }
 
+// limited tells whether an organisation has limits: nobody needs to know the
+// demand of the others.
+func (d *demandReporter) limited(organisation string) bool {
+	snap := d.core.holder.Current()
+	if snap == nil {
+		return false
+	}
+	org := snap.Deployment.Organisation(organisation)
+	return org != nil && org.Limits != (deployment.Limits{})
+}
+
 // entries returns the addresses of the living entry nodes by name.
 func (d *demandReporter) entries() map[string]string {
 	entries := make(map[string]string)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,7 +24,7 @@
 	dialTimeout = time.Second
 	// Calls notice a silent connection by their own heartbeats and timeouts; the
 	// pings only end connections that nobody calls over.
-	pingAfter          = 15 * time.Second
+	pingAfter          = time.Minute
 	pingTimeout        = 5 * time.Second
 	idleTimeout        = 90 * time.Second
 	headerTimeout      = 5 * time.Second
