--- a/admission/queue.go
+++ b/admission/queue.go
@@ -75,11 +75,11 @@
 	w, err := q.admit(ctx, &t)
 	if err != nil {
 		countRefusal(err.(*RefusedError).Reason)
-		klog.Infof("admission: refused request %s of %s at %s: %s",
+		klog.V(1).Infof("admission: refused request %s of %s at %s: %s",
 			t.Request, t.Organisation, q.cfg.Endpoint, err.(*RefusedError).Reason)
 		return nil, err
 	}
-	klog.Infof("admission: started request %s of %s at %s", t.Request, t.Organisation, q.cfg.Endpoint)
+	klog.V(1).Infof("admission: started request %s of %s at %s", t.Request, t.Organisation, q.cfg.Endpoint)
 	started := time.Now()
 	countWait(started.Sub(arrived))
 	var once sync.Once
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -191,10 +191,10 @@
 	switch {
 	case err != nil:
 		l.stats.Refusals++
-		klog.Infof("claim: refused key %q of %s on %s: %v", c.Key, c.Organisation, c.Route, err)
+		klog.V(1).Infof("claim: refused key %q of %s on %s: %v", c.Key, c.Organisation, c.Route, err)
 	case d.Replay != nil:
 		l.stats.Replays++
-		klog.Infof("claim: replayed key %q of %s on %s", c.Key, c.Organisation, c.Route)
+		klog.V(1).Infof("claim: replayed key %q of %s on %s", c.Key, c.Organisation, c.Route)
 	default:
 		l.stats.Claims++
 		klog.V(1).Infof("claim: runs key %q of %s on %s, token %d-%d",
--- /dev/null
+++ b/demo/standins.go
@@ -0,0 +1,139 @@
+package demo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/node"
+	enginestandin "github.com/cyclamenpoint/cyclamenpoint/standin/engine"
+	objectstorestandin "github.com/cyclamenpoint/cyclamenpoint/standin/objectstore"
+	servicestandin "github.com/cyclamenpoint/cyclamenpoint/standin/service"
+	tablestandin "github.com/cyclamenpoint/cyclamenpoint/standin/table"
+	vmliststandin "github.com/cyclamenpoint/cyclamenpoint/standin/vmlist"
+)
+
+// startPlatform starts the platform's stand-ins.
+func (d *Demo) startPlatform() error {
+	d.table = tablestandin.New()
+	d.vms = vmliststandin.New(vmListLag)
+	for _, s := range []struct {
+		url     *string
+		handler http.Handler
+	}{
+		{&d.platform.Table, d.table.Handler()},
+		{&d.platform.Objects, objectstorestandin.New().Handler()},
+		{&d.platform.VMs, d.vms.Handler()},
+	} {
+		address, err := d.serve(s.handler)
+		if err != nil {
+			return err
+		}
+		*s.url = "http://" + address
+	}
+	return nil
+}
+
+// deployment returns the demo's configuration without its addresses.
+func (d *Demo) deployment() *deployment.Deployment {
+	hash := sha256.Sum256([]byte(demoKey))
+	return &deployment.Deployment{
+		Name:   "demo",
+		Models: []deployment.Model{{Name: demoModel, MaxTokens: maxTokens, Repeat: deployment.RepeatAlways}},
+		Groups: []deployment.Group{{
+			Name: demoGroup, Model: demoModel, Layers: 4, Experts: 32, Slots: 6, ExpertBytes: 44 << 20,
+			Objective: deployment.Objective{Skew: 1, Move: 1},
+		}},
+		Services: []deployment.Service{{Name: demoService, Routes: []deployment.Route{
+			{Method: http.MethodPost, Path: "/reservations", Repeat: deployment.RepeatNever},
+			{Method: http.MethodGet, Path: "/stock", Repeat: deployment.RepeatAlways},
+		}}},
+		Organisations: []deployment.Organisation{{Name: "demo", KeySHA256: []string{hex.EncodeToString(hash[:])}, Share: 1}},
+	}
+}
+
+// startEndpoints starts the engines and workers and adds them to deploy.
+func (d *Demo) startEndpoints(deploy *deployment.Deployment) error {
+	group := deploy.Groups[0]
+	d.engines = enginestandin.NewGroup(enginestandin.Options{
+		Shape:    expertmap.Shape{Layers: group.Layers, Experts: group.Experts, Ranks: engines, Slots: group.Slots},
+		LoadTime: loadTime, WindowSteps: windowSteps, DriftSteps: driftSteps, Seed: expertSeed,
+		Model: demoModel, Ranks: engines, Step: d.opts.Step, Slots: engineSlots, PrefillPerStep: prefillBlocks,
+		CacheBlocks: cacheBlocks, ReportLag: reportLag, Restart: restartTime, CrashOn: d.opts.CrashOn,
+	})
+	for rank := range engines {
+		e := endpoint(rank, "engine", deployment.KindEngine, engineSlots)
+		e.Group = demoGroup
+		e.Rank = rank
+		e.Resumes = true
+		if err := d.addEndpoint(deploy, e, d.engines.Rank(rank).Handler()); err != nil {
+			return err
+		}
+	}
+	d.service = servicestandin.New(serviceTime)
+	for i := range workers {
+		e := endpoint(i, demoService, deployment.KindService, workerSlots)
+		e.Service = demoService
+		if err := d.addEndpoint(deploy, e, d.service.Handler()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func endpoint(i int, prefix string, kind deployment.Kind, slots int) deployment.Endpoint {
+	name := fmt.Sprintf("%s-%d", prefix, i)
+	return deployment.Endpoint{
+		Name: name, Kind: kind, VM: "vm-" + name, FailureDomain: failureDomains[i%len(failureDomains)],
+		Region: "demo", Concurrency: slots, Weight: 100,
+	}
+}
+
+// addEndpoint serves handler at a free port and reserves one for the agent.
+func (d *Demo) addEndpoint(deploy *deployment.Deployment, e deployment.Endpoint, handler http.Handler) error {
+	address, err := d.serve(handler)
+	if err != nil {
+		return err
+	}
+	e.Address = address
+	e.Agent, err = d.reserve()
+	if err != nil {
+		return err
+	}
+	deploy.Endpoints = append(deploy.Endpoints, e)
+	if len(d.seeds) < seedCount {
+		d.seeds = append(d.seeds, e.Agent)
+	}
+	return nil
+}
+
+// serve serves a stand-in at a free port.
+func (d *Demo) serve(handler http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopbackAnyOne)
+	if err != nil {
+		return "", &node.ListenError{Name: "a stand-in", Address: loopbackAnyOne, Cause: err}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	d.standins = append(d.standins, server)
+	go func() {
+		// Serve returns when close closes the server.
+		_ = server.Serve(l)
+	}()
+	return l.Addr().String(), nil
+}
+
+// reserve opens a socket at a free port, for a process that starts later, and
+// returns its address.
+func (d *Demo) reserve() (string, error) {
+	l, err := net.Listen("tcp", loopbackAnyOne)
+	if err != nil {
+		return "", &node.ListenError{Name: "a free port", Address: loopbackAnyOne, Cause: err}
+	}
+	d.sockets[l.Addr().String()] = l
+	return l.Addr().String(), nil
+}
--- a/operator/examples/ashanti/main.go
+++ b/operator/examples/ashanti/main.go
@@ -18,7 +18,11 @@
 	keepSeconds = 7 * 24 * 60 * 60
 )
 
-var failureDomains = []string{"gh-south-a", "gh-south-b", "gh-south-c"}
+var spread = operator.Spread{
+	Region:         "gh-south",
+	FailureDomains: []string{"gh-south-a", "gh-south-b", "gh-south-c"},
+	Network:        "10.20",
+}
 
 // organisations share the site; the larger ones have larger shares. The keys
 // are examples and have to be replaced by the hashes of real ones.
@@ -35,9 +39,9 @@
 	assistant := d.Model("assistant", 2048, operator.Always)
 	group := d.Group("assistant", assistant,
 		operator.Shape{Layers: 60, Experts: 64, Slots: 6, ExpertBytes: 44 << 20},
-		operator.Objective{Skew: 4, Move: 0.5})
+		operator.Objective{Skew: 1, Move: 0.05})
 	for i := range engines {
-		d.Engine(fmt.Sprintf("assistant-%d", i), group, place("assistant", i, 8000), operator.EngineOptions{
+		d.Engine(fmt.Sprintf("assistant-%d", i), group, spread.Place("assistant", i, 8000), operator.EngineOptions{
 			Rank: i, Concurrency: slots, Resumes: true,
 		})
 	}
@@ -46,7 +50,7 @@
 		operator.Route{Method: "POST", Path: "/reservations", Repeat: operator.Never, KeepAnswerSeconds: keepSeconds},
 		operator.Route{Method: "POST", Path: "/invoices", Repeat: operator.Never, KeepAnswerSeconds: keepSeconds})
 	for i := range workers {
-		d.Worker(fmt.Sprintf("desk-%d", i), desk, place("desk", i, 8100), workerSlots)
+		d.Worker(fmt.Sprintf("desk-%d", i), desk, spread.Place("desk", i, 8100), workerSlots)
 	}
 	for _, o := range organisations {
 		d.Organisation(o.name, o.share, operator.Limits{RequestsPerSecond: 40}, operator.HashKey("replace-"+o.name))
@@ -56,16 +60,3 @@
 		os.Exit(1)
 	}
 }
-
-// place spreads endpoints over the failure domains.
-func place(kind string, i, port int) operator.Place {
-	domain := i % len(failureDomains)
-	ip := fmt.Sprintf("10.20.%d.%d", domain, port/100+i)
-	return operator.Place{
-		VM:            fmt.Sprintf("%s-vm-%d", kind, i),
-		FailureDomain: failureDomains[domain],
-		Region:        "gh-south",
-		Address:       fmt.Sprintf("%s:%d", ip, port),
-		Agent:         ip + ":7000",
-	}
-}
--- a/operator/examples/zilina/main.go
+++ b/operator/examples/zilina/main.go
@@ -18,7 +18,11 @@
 	keepSeconds = 30 * 24 * 60 * 60
 )
 
-var failureDomains = []string{"zilina-a", "martin-b", "cadca-c"}
+var spread = operator.Spread{
+	Region:         "sk-north",
+	FailureDomains: []string{"zilina-a", "martin-b", "cadca-c"},
+	Network:        "10.10",
+}
 
 // organisations share the site; the larger ones have larger shares. The keys
 // are examples and have to be replaced by the hashes of real ones.
@@ -35,9 +39,9 @@
 	drafting := d.Model("drafting", 4096, operator.Always)
 	group := d.Group("drafting", drafting,
 		operator.Shape{Layers: 60, Experts: 64, Slots: 6, ExpertBytes: 44 << 20},
-		operator.Objective{Skew: 1, Move: 8})
+		operator.Objective{Skew: 1, Move: 2})
 	for i := range engines {
-		d.Engine(fmt.Sprintf("drafting-%d", i), group, place("drafting", i, 8000), operator.EngineOptions{
+		d.Engine(fmt.Sprintf("drafting-%d", i), group, spread.Place("drafting", i, 8000), operator.EngineOptions{
 			Rank: i, Concurrency: slots, ChecksFencing: true, Resumes: true,
 		})
 	}
@@ -46,7 +50,7 @@
 		operator.Route{Method: "POST", Path: "/renewals", Repeat: operator.Never, KeepAnswerSeconds: keepSeconds},
 		operator.Route{Method: "POST", Path: "/sanctions", Repeat: operator.Never, KeepAnswerSeconds: keepSeconds})
 	for i := range workers {
-		d.Worker(fmt.Sprintf("register-%d", i), register, place("register", i, 8100), workerSlots)
+		d.Worker(fmt.Sprintf("register-%d", i), register, spread.Place("register", i, 8100), workerSlots)
 	}
 	for _, o := range organisations {
 		d.Organisation(o.name, o.share, operator.Limits{RequestsPerSecond: 40}, operator.HashKey("replace-"+o.name))
@@ -56,16 +60,3 @@
 		os.Exit(1)
 	}
 }
-
-// place spreads endpoints over the failure domains.
-func place(kind string, i, port int) operator.Place {
-	domain := i % len(failureDomains)
-	ip := fmt.Sprintf("10.10.%d.%d", domain, port/100+i)
-	return operator.Place{
-		VM:            fmt.Sprintf("%s-vm-%d", kind, i),
-		FailureDomain: failureDomains[domain],
-		Region:        "sk-north",
-		Address:       fmt.Sprintf("%s:%d", ip, port),
-		Agent:         ip + ":7000",
-	}
-}
--- a/quarantine/gate.go
+++ b/quarantine/gate.go
@@ -191,6 +191,6 @@
 
 func (g *Gate) refused(fp Fingerprint, r Reason) error {
 	counts.Add("refused "+r.String(), 1)
-	klog.Infof("quarantine: refused content %s at %s: %s", fp, g.endpoint, r)
+	klog.V(1).Infof("quarantine: refused content %s at %s: %s", fp, g.endpoint, r)
 	return &RefusedError{Fingerprint: fp, Reason: r, Remaining: g.list.remaining(fp)}
 }
