--- a/entry/answer.go
+++ b/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,6 +17,8 @@
 	rc     *http.ResponseController
 	begun  bool
 	stream bool
+	// arrived is when the request came.
+	arrived time.Time
 	// events counts those of a stream, one for each token.
 	events int
 }
@@ -37,6 +40,9 @@
 		_, err := a.w.Write(data)
 		return errors.Wrap(err, "write to the caller")
 	}
+	if a.events == 0 {
+		firstTokens.record(time.Since(a.arrived))
+	}
 	a.events++
 	if err := a.event("", data); err != nil {
 		return err
@@ -58,6 +64,7 @@
 
 // finish ends a whole answer. Only a whole stream gets its terminator.
 func (a *answer) finish() {
+	figures.Add("answers", 1)
 	if a.stream {
 		// A caller that has gone does not read its answer.
 		_ = a.event("", []byte("[DONE]"))
@@ -67,6 +74,7 @@
 // fail tells the caller that there is no answer, or that the stream that has
 // begun is not whole.
 func (a *answer) fail(p *problem.Problem) {
+	figures.Add(p.Kind.Name, 1)
 	if !a.begun {
 		p.Write(a.w)
 		return
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,6 +31,7 @@
 
 // received is a request under check.
 type received struct {
+	arrived  time.Time
 	entry    *Entry
 	snapshot *config.Snapshot
 	org      *deployment.Organisation
@@ -42,7 +43,8 @@
 
 // receive identifies the caller. On failure it answers and returns nil.
 func (e *Entry) receive(w http.ResponseWriter, r *http.Request) *received {
-	in := &received{entry: e, snapshot: e.opts.Config.Current(), id: w.Header().Get(headerRequestID), w: w, r: r}
+	figures.Add("requests", 1)
+	in := &received{arrived: time.Now(), entry: e, snapshot: e.opts.Config.Current(), id: w.Header().Get(headerRequestID), w: w, r: r}
 	in.org = in.snapshot.Directory.Identify(r.Header.Get("Authorization"))
 	if in.org == nil {
 		w.Header().Set("WWW-Authenticate", "Bearer")
@@ -53,6 +55,7 @@
 }
 
 func (in *received) fail(kind problem.Kind, detail string) {
+	figures.Add(kind.Name, 1)
 	(&problem.Problem{Kind: kind, RequestID: in.id, Detail: detail}).Write(in.w)
 }
 
@@ -202,7 +205,7 @@
 		in.limited(err)
 		return
 	}
-	out := &answer{w: in.w, rc: http.NewResponseController(in.w)}
+	out := &answer{w: in.w, rc: http.NewResponseController(in.w), arrived: in.arrived}
 	defer func() { grant.Done(float64(out.events)) }()
 	if p := in.entry.opts.Dispatcher.Do(in.r.Context(), req, out); p != nil {
 		out.fail(p)
@@ -218,5 +221,6 @@
 	if errors.As(err, &limited) {
 		p.RetryAfter = limited.RetryAfter
 	}
+	figures.Add(p.Kind.Name, 1)
 	p.Write(in.w)
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -116,6 +116,7 @@
 		return
 	}
 	if endpoint.Kind == deployment.KindService {
+		n.core.publishClaims(claims)
 		n.core.duty(ctx, claims.Run)
 	}
 	n.agent.Store(a)
--- a/node/core.go
+++ b/node/core.go
@@ -140,6 +140,7 @@
 		return err
 	}
 	c.listeners = append(c.listeners, operators)
+	c.publish()
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.duty(ctx, c.members.Run)
