--- a/node/agent.go
+++ b/node/agent.go
@@ -118,6 +118,7 @@
 	if endpoint.Kind == deployment.KindService {
 		n.core.publishClaims(claims)
 		n.core.duty(ctx, claims.Run)
+		n.core.duty(ctx, n.core.sweepClaims)
 	}
 	n.agent.Store(a)
 	klog.Infof("agent: serving endpoint %s at %s, incarnation %d.", endpoint.Name, endpoint.Address, n.core.incarnation)
