Serve callers on the users' platform: gateway, adapter and deploy file

New in the product: routes by host and prefix (route), endpoints that announce themselves (discovery), followed tables (follow), news between processes (peernews), connections to endpoints (upstream), forwarding straight to endpoints with proof and resumption (forward), estimates of load (outstanding), a budget in sliding windows (retry.Window). platform/ only translates.

--- a/command/agent.go
+++ b/command/agent.go
@@ -8,11 +8,13 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/node"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
+	"github.com/cyclamenpoint/cyclamenpoint/launch"
 )
 
 // agentOptions are the options of the agent's program.
 type agentOptions struct {
-	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"the agent's settings as YAML"`
+	Settings string `long:"settings" value-name:"FILE" description:"the agent's settings as YAML"`
+	Platform bool   `long:"platform" description:"run beside an endpoint on the users' platform, by its settings file"`
 }
 
 // RunAgent runs the agent's program with the arguments after its name and
@@ -26,7 +28,13 @@
 		return report(err, out, errOut)
 	}
 	_, err := parser.ParseArgs(args)
-	if err == nil {
+	switch {
+	case err != nil:
+	case opts.Platform:
+		err = launch.RunAgent(out)
+	case opts.Settings == "":
+		err = &flags.Error{Type: flags.ErrRequired, Message: "--settings or --platform is required"}
+	default:
 		err = runAgent(opts.Settings)
 	}
 	return report(err, out, errOut)
--- a/command/command.go
+++ b/command/command.go
@@ -95,6 +95,7 @@
 	parser.LongDescription = "cyclamenpoint runs an entry node and the operators' commands."
 	addAll(parser.Command, []subcommand{
 		{"serve", "Run an entry node", "Runs an entry node until SIGTERM, then waits for the answers in flight.", &serveCommand{streams: s}},
+		{"gateway", "Run an entry node on the users' platform", "Runs an entry node where endpoints announce themselves, until SIGTERM. The platform's settings file says where it stands.", &gatewayCommand{streams: s}},
 		{"demo", "Run a whole deployment on stand-ins", "Runs a whole deployment in one process over loopback, until SIGTERM.", &demoCommand{streams: s}},
 		{"status", "Show the nodes' condition", "Shows readiness, configuration and load of the named nodes, and which of them are behind.", &statusCommand{streams: s}},
 		{"explain", "Tell why a request went where it went", "Collects the named nodes' decisions on a request.", &explainCommand{streams: s}},
--- /dev/null
+++ b/follow/follow.go
@@ -0,0 +1,233 @@
+// Package follow keeps a copy of tables of the platform's store: it reads a
+// table once, waits for its changes, and takes newer copies from peers while
+// the store turns this process away. Copies are immutable.
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Row is one row of a table.
+type Row struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version is that of the transaction that wrote the row.
+	Version uint64 `json:"version"`
+}
+
+// Change is a row that was written or removed.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Copy is a table as of one moment.
+type Copy struct {
+	Rows map[string]Row `json:"rows"`
+	// AsOf is the store's version at that moment; zero means that nothing is
+	// known yet.
+	AsOf uint64 `json:"as_of"`
+	// Changed is the version of the newest change that is known; unlike AsOf it
+	// is the same for all copies with the same content.
+	Changed uint64 `json:"changed"`
+}
+
+// newest returns the version of the newest row.
+func (c Copy) newest() uint64 {
+	newest := uint64(0)
+	for _, row := range c.Rows {
+		newest = max(newest, row.Version)
+	}
+	return newest
+}
+
+// Source reads tables.
+type Source interface {
+	// Read returns the whole table.
+	Read(ctx context.Context, table string) (Copy, error)
+	// Changes returns the changes after a version, waiting up to wait for the
+	// first one, and the version to go on from. It returns a *LostHistoryError
+	// if the store no longer has them.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
+// LostHistoryError says that changes are no longer kept, so that the table has
+// to be read again.
+type LostHistoryError struct{ Table string }
+
+// Error implements error.
+func (e *LostHistoryError) Error() string { return "the changes of table " + e.Table + " are gone" }
+
+// Timing holds a Follower's periods.
+type Timing struct {
+	// Wait is how long the store holds a call for changes open.
+	Wait time.Duration
+	// Pause is the least time between two calls, so that changes in quick
+	// succession come as one.
+	Pause time.Duration
+	// Backoff is the time before a call that follows a failed one.
+	Backoff time.Duration
+}
+
+// Follower keeps the copy of one table. Current, Adopt and Contact may be
+// called from any goroutine.
+type Follower struct {
+	table   string
+	source  Source
+	timing  Timing
+	log     *slog.Logger
+	current atomic.Pointer[Copy]
+	changed func(Copy)
+
+	// installing orders the copies.
+	installing sync.Mutex
+
+	mu sync.Mutex
+	// lostAt is when the store stopped answering, zero while it answers;
+	// backAt is when it last came back.
+	lostAt, backAt time.Time
+}
+
+// New returns a follower; changed is called with each newer copy, one call at a
+// time.
+func New(table string, source Source, timing Timing, log *slog.Logger, changed func(Copy)) *Follower {
+	f := &Follower{table: table, source: source, timing: timing, log: log, changed: changed, lostAt: time.Now()}
+	f.current.Store(&Copy{})
+	return f
+}
+
+// Current returns the newest copy.
+func (f *Follower) Current() Copy { return *f.current.Load() }
+
+// Contact tells since when the store has not answered, zero while it does, and
+// when it last came back.
+func (f *Follower) Contact() (lostAt, backAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lostAt, f.backAt
+}
+
+// Adopt takes a peer's copy if it is newer.
+func (f *Follower) Adopt(c Copy) bool {
+	f.installing.Lock()
+	defer f.installing.Unlock()
+	return f.install(c)
+}
+
+// Table returns the name of the table.
+func (f *Follower) Table() string { return f.table }
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.once(ctx)
+		pause := f.timing.Pause
+		if err != nil {
+			pause = f.timing.Backoff
+		}
+		if ctx.Err() == nil {
+			f.note(err)
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// once makes one call.
+func (f *Follower) once(ctx context.Context) error {
+	cur := f.Current()
+	if cur.AsOf == 0 {
+		return f.read(ctx)
+	}
+	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf, f.timing.Wait)
+	var lost *LostHistoryError
+	if errors.As(err, &lost) {
+		f.log.Info("history of the table is gone, reading it again", "table", f.table, "as_of", cur.AsOf)
+		return f.read(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.installing.Lock()
+	defer f.installing.Unlock()
+	f.install(apply(f.Current(), changes, asOf))
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	c, err := f.source.Read(ctx, f.table)
+	if err != nil {
+		return err
+	}
+	c.Changed = max(c.Changed, c.newest())
+	f.installing.Lock()
+	defer f.installing.Unlock()
+	f.install(c)
+	return nil
+}
+
+// install makes a copy current unless it is older, and tells of it if its
+// content is another one. The caller holds installing.
+func (f *Follower) install(c Copy) bool {
+	now := f.Current()
+	if c.AsOf <= now.AsOf {
+		return false
+	}
+	f.current.Store(&c)
+	if now.AsOf == 0 || c.Changed != now.Changed {
+		f.changed(c)
+	}
+	return true
+}
+
+// note logs when the store stops or starts answering.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err != nil && f.lostAt.IsZero():
+		f.lostAt = time.Now()
+		f.log.Warn("store does not answer", "table", f.table, "error", err.Error(), "as_of", f.Current().AsOf)
+	case err == nil && !f.lostAt.IsZero():
+		f.backAt = time.Now()
+		f.log.Info("store answers", "table", f.table, "away", f.backAt.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
+		f.lostAt = time.Time{}
+	}
+}
+
+// apply returns the copy that follows from c and the changes after it. Changes
+// that c already contains have no effect.
+func apply(c Copy, changes []Change, asOf uint64) Copy {
+	if asOf <= c.AsOf {
+		return c
+	}
+	rows, changed := c.Rows, c.Changed
+	if len(changes) > 0 {
+		rows = make(map[string]Row, len(c.Rows)+len(changes))
+		for key, row := range c.Rows {
+			rows[key] = row
+		}
+	}
+	for _, ch := range changes {
+		if ch.Version <= c.AsOf {
+			continue
+		}
+		changed = max(changed, ch.Version)
+		if ch.Removed {
+			delete(rows, ch.Key)
+			continue
+		}
+		rows[ch.Key] = ch.Row
+	}
+	return Copy{Rows: rows, AsOf: asOf, Changed: changed}
+}
--- /dev/null
+++ b/forward/budgets.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"sync"
+
+	"github.com/cyclamenpoint/cyclamenpoint/retry"
+)
+
+// Budgets bounds the second sends to each service. It is safe for concurrent
+// use.
+type Budgets struct {
+	cfg retry.WindowConfig
+
+	mu      sync.Mutex
+	nodes   int
+	windows map[string]*retry.Window
+}
+
+// NewBudgets returns budgets with the bounds that hold for each service.
+func NewBudgets(cfg retry.WindowConfig) *Budgets {
+	return &Budgets{cfg: cfg, nodes: 1, windows: make(map[string]*retry.Window)}
+}
+
+// SetNodes says how many nodes share the reserve.
+func (b *Budgets) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nodes = n
+	for _, w := range b.windows {
+		w.SetNodes(n)
+	}
+}
+
+// window returns the window of a service.
+func (b *Budgets) window(service string) *retry.Window {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windows[service]
+	if w == nil {
+		w = retry.NewWindow(b.cfg)
+		w.SetNodes(b.nodes)
+		b.windows[service] = w
+	}
+	return w
+}
--- /dev/null
+++ b/gateway/pick.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/forward"
+	"github.com/cyclamenpoint/cyclamenpoint/picker"
+)
+
+// picking is the gateway's forward.Picker.
+type picking struct{ g *Gateway }
+
+// sharedSource draws from the runtime's random source, which many goroutines
+// may use.
+type sharedSource struct{}
+
+// Uint64 implements rand.Source.
+func (sharedSource) Uint64() uint64 { return rand.Uint64() }
+
+// Pick implements forward.Picker.
+func (p *picking) Pick(req *forward.Request, tried []string) (forward.Target, error) {
+	g, now := p.g, time.Now()
+	service := req.Match.Service
+	listed := g.set.Load().Service(service.Name)
+	known := make([]picker.DirectEndpoint, len(listed))
+	for i := range listed {
+		e := &listed[i]
+		estimate := g.loads.Estimate(e.ID, now)
+		known[i] = picker.DirectEndpoint{
+			Slots: e.Slots, Load: estimate.Load, Near: e.FailureDomain == g.settings.FailureDomain,
+			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed,
+		}
+		for _, id := range tried {
+			known[i].Tried = known[i].Tried || id == e.ID
+		}
+	}
+	choice := picker.DefaultDirect.Choose(known, rand.New(sharedSource{}))
+	if choice.Index < 0 {
+		return forward.Target{}, &forward.RefusedError{
+			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
+			After:  fullRetryAfter,
+		}
+	}
+	return forward.Target{
+		Endpoint: listed[choice.Index], MaxConnections: g.connectionsEach(service.MaxConnections),
+		Load: known[choice.Index].Load, Ill: choice.Ill,
+	}, nil
+}
+
+// fullRetryAfter is when a caller may come back that found all endpoints full.
+const fullRetryAfter = 700 * time.Millisecond
+
+// connectionsEach is a node's part of the connections that an endpoint accepts.
+func (g *Gateway) connectionsEach(limit int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(limit/max(g.registry.Entries(), 1), 1)
+}
+
+// Begin implements forward.Picker.
+func (p *picking) Begin(endpoint string) { p.g.loads.Begin(endpoint) }
+
+// End implements forward.Picker.
+func (p *picking) End(endpoint string) { p.g.loads.End(endpoint) }
+
+// Learn implements forward.Picker.
+func (p *picking) Learn(target forward.Target, verdict forward.Verdict) {
+	switch verdict {
+	case forward.Served:
+		p.g.loads.Succeeded(target.ID)
+	case forward.Failed, forward.Moved:
+		if p.g.loads.Failed(target.ID) {
+			p.g.log.Warn("endpoint counts as ill", "endpoint", target.ID, "service", target.Service)
+		}
+	}
+}
--- /dev/null
+++ b/outstanding/outstanding.go
@@ -0,0 +1,175 @@
+// Package outstanding estimates the load of endpoints from two things: the
+// requests that this node has in flight, which it knows exactly and at once,
+// and reports of all requests, which come some 100 ms late. It also remembers
+// which endpoints failed requests of late.
+package outstanding
+
+import (
+	"sync"
+	"time"
+)
+
+// Report is what the process beside an endpoint says of it.
+type Report struct {
+	// Running and Queued count requests of all nodes.
+	Running, Queued int
+	// Group names the rank group, empty for none; Open is false while the group
+	// cannot step.
+	Group string
+	Open  bool
+	// Pace is above 1 for an endpoint that is slower than it should be.
+	Pace float64
+}
+
+const (
+	// reportLife is the age at which a report says nothing of the load any more;
+	// reports come a few times a second.
+	reportLife = time.Second
+	// doubtAfter is how many failures in a row make an endpoint ill.
+	doubtAfter = 2
+	// illFor is how long an endpoint stays ill after its newest failure in a
+	// row; it doubles with each further one up to illMost.
+	illFor  = 500 * time.Millisecond
+	illMost = 4 * time.Second
+)
+
+// state is what is known of one endpoint.
+type state struct {
+	inFlight int
+	// report, at its arrival, counted reportedOwn requests of this node.
+	report      Report
+	reportedOwn int
+	reportedAt  time.Time
+	failures    int
+	illUntil    time.Time
+}
+
+// Loads holds the load of all endpoints by id. It is safe for concurrent use.
+type Loads struct {
+	mu     sync.Mutex
+	states map[string]*state
+	// byAddress finds endpoints by the address that reports name.
+	byAddress map[string]string
+	// nodes is how many nodes send requests.
+	nodes int
+}
+
+// New returns an empty Loads.
+func New() *Loads {
+	return &Loads{states: make(map[string]*state), byAddress: make(map[string]string), nodes: 1}
+}
+
+// SetEndpoints replaces the known endpoints: ids by address. What is known of
+// the others is forgotten once they have nothing in flight.
+func (l *Loads) SetEndpoints(byAddress map[string]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byAddress = byAddress
+	live := make(map[string]bool, len(byAddress))
+	for _, id := range byAddress {
+		live[id] = true
+	}
+	for id, s := range l.states {
+		if !live[id] && s.inFlight == 0 {
+			delete(l.states, id)
+		}
+	}
+}
+
+// SetNodes says how many nodes send requests to the endpoints.
+func (l *Loads) SetNodes(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nodes = max(n, 1)
+}
+
+func (l *Loads) state(id string) *state {
+	s := l.states[id]
+	if s == nil {
+		s = &state{}
+		l.states[id] = s
+	}
+	return s
+}
+
+// Begin counts a request that is sent to an endpoint.
+func (l *Loads) Begin(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state(id).inFlight++
+}
+
+// End counts the end of a request.
+func (l *Loads) End(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state(id).inFlight--
+}
+
+// Succeeded says that a request was served.
+func (l *Loads) Succeeded(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(id)
+	s.failures, s.illUntil = 0, time.Time{}
+}
+
+// Failed says that a request failed at an endpoint through the endpoint's
+// fault. It reports whether the endpoint counts as ill now.
+func (l *Loads) Failed(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(id)
+	s.failures++
+	if s.failures < doubtAfter {
+		return false
+	}
+	period := illFor << min(s.failures-doubtAfter, 8)
+	s.illUntil = time.Now().Add(min(period, illMost))
+	return true
+}
+
+// Learn takes a report on the endpoint at an address.
+func (l *Loads) Learn(address string, r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id, ok := l.byAddress[address]
+	if !ok {
+		return
+	}
+	s := l.state(id)
+	s.report, s.reportedOwn, s.reportedAt = r, s.inFlight, time.Now()
+}
+
+// Estimate is what is thought of an endpoint now.
+type Estimate struct {
+	// Load counts running and waiting requests.
+	Load float64
+	// Reported is true if a fresh report stands behind it.
+	Reported bool
+	Group    string
+	// Closed is true if its group cannot step.
+	Closed bool
+	// Ill is true if requests failed there of late.
+	Ill bool
+}
+
+// Estimate returns what is thought of an endpoint.
+func (l *Loads) Estimate(id string, now time.Time) Estimate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.states[id]
+	if s == nil {
+		return Estimate{}
+	}
+	e := Estimate{Ill: now.Before(s.illUntil)}
+	if now.Sub(s.reportedAt) >= reportLife {
+		// Without reports, the other nodes are taken to send as much.
+		e.Load = float64(s.inFlight * l.nodes)
+		return e
+	}
+	e.Reported, e.Group = true, s.report.Group
+	e.Closed = s.report.Group != "" && !s.report.Open
+	e.Load = float64(max(s.report.Running+s.report.Queued+s.inFlight-s.reportedOwn, s.inFlight))
+	return e
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -58,6 +58,7 @@
 	NotReady        = Kind{"not-ready", "The node is not ready", http.StatusServiceUnavailable, NotRun}
 	StoreDown       = Kind{"store-down", "The claim could not be made durable", http.StatusServiceUnavailable, NotRun}
 	Deadline        = Kind{"deadline", "The deadline cannot be met", http.StatusGatewayTimeout, NotRun}
+	LateUnknown     = Kind{"late-unknown", "No answer came in time; the request may have run", http.StatusGatewayTimeout, Unknown}
 	OutcomeUnknown  = Kind{"outcome-unknown", "The request may have run", http.StatusBadGateway, Unknown}
 	EndpointFailure = Kind{"endpoint-failure", "The endpoint failed while it answered", http.StatusBadGateway, Unknown}
 )
