Change expert maps by a gate: agents beside engines, a leader without a lease

Each agent carries out wants beside its engine; the leader decides by package placement and switches by a hold at one rank.

--- a/launch/site.go
+++ b/launch/launch.go
@@ -19,6 +19,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/eventlog"
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
+	"github.com/cyclamenpoint/cyclamenpoint/rankgroup"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 )
 
@@ -134,23 +135,23 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	agent := rankgroup.NewAgent(rankgroup.Settings{
+		Node: s.Node, FailureDomain: s.FailureDomain, Peers: peersAddress(s, agentPort), Seeds: seeds(s), Endpoint: s.Endpoint,
+		ConfigTable: platform.TableConfig, NodesTable: platform.TableNodes, Service: s.Service,
+	}, platform.NewEngine(s.Endpoint, engineTransport()), platform.NewStore(s.Store, storeTransport()), platform.Protocol{}.DecodeConfig, log)
+	done := make(chan struct{})
 	go func() {
-		t := time.NewTicker(500 * time.Millisecond)
-		for range t.C {
-			for _, u := range []string{"/v1/report", "/v1/picked", "/v1/picked?lists=1"} {
-				r, err := http.Get("http://" + s.Endpoint + u)
-				if err != nil {
-					log.Info("raw", "err", err.Error())
-					continue
-				}
-				b, _ := io.ReadAll(r.Body)
-				r.Body.Close()
-				log.Info("raw", "u", u, "b", string(b))
-			}
-		}
-		_ = ctx
+		defer close(done)
+		agent.Run(ctx)
 	}()
 	waitForEnd(signals, log)
+	cancel()
+	<-done
+	log.Info("stopped")
 	return nil
 }
+
+// engineTransport carries the calls to the engine on the same VM.
+func engineTransport() http.RoundTripper {
+	return &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
+}
--- a/peernews/peer.go
+++ b/peernews/peer.go
@@ -41,6 +41,9 @@
 	// Leads is the group that the sender leads, or empty, and Rank its rank.
 	Leads string `json:"leads,omitempty"`
 	Rank  int    `json:"rank,omitempty"`
+	// Counts is how often the requests of the sender's endpoint chose each
+	// expert, by layer and expert, since the sender's last report.
+	Counts []uint32 `json:"counts,omitempty"`
 }
 
 const (
--- a/placement/layer.go
+++ b/placement/layer.go
@@ -17,6 +17,10 @@
 	// limit is the number of slots that the map uses on one rank without need.
 	// One slot less than there are keeps room to load the next expert.
 	limit int
+	// strict forbids a rank to use more slots than limit, and loadsEach bounds
+	// the loads of a rank, zero for no bound.
+	strict    bool
+	loadsEach int
 	// canLoad is false while the weight store is down.
 	canLoad bool
 }
@@ -110,6 +114,7 @@
 func (l *layerState) find(rank int, e expertmap.Expert) (slot int, cost float64, ok bool) {
 	slot = -1
 	coldest := 0.0
+	canLoad := l.canLoad && (l.loadsEach == 0 || l.rankLoads(rank) < l.loadsEach)
 	for s := range l.shape.Slots {
 		i := rank*l.shape.Slots + s
 		if l.use[i] != expertmap.Empty {
@@ -121,7 +126,7 @@
 		if l.loaded[i] == e {
 			return s, regainCost, true
 		}
-		if !l.canLoad || l.base[i] != expertmap.Empty && !l.overwrite {
+		if !canLoad || l.base[i] != expertmap.Empty && !l.overwrite {
 			continue
 		}
 		if x := l.unused(i); slot < 0 || x < coldest {
@@ -131,6 +136,18 @@
 	return slot, 1, slot >= 0
 }
 
+// rankLoads is the number of slots of a rank that have to be loaded.
+func (l *layerState) rankLoads(rank int) int {
+	n := 0
+	for s := range l.shape.Slots {
+		i := rank*l.shape.Slots + s
+		if e := l.use[i]; e != expertmap.Empty && e != l.base[i] && e != l.loaded[i] {
+			n++
+		}
+	}
+	return n
+}
+
 // unused is the share of the weights that are loaded in a slot without use.
 func (l *layerState) unused(i int) float64 {
 	if e := l.loaded[i]; e != expertmap.Empty {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,6 +33,13 @@
 	StoreShare float64
 	// MaxAge is the age in windows from which estimates are too old to act on.
 	MaxAge int64
+	// Reserved is the number of slots of each rank and layer that no map uses:
+	// they only take loads. Zero leaves it to the policy, which keeps one free
+	// where it can.
+	Reserved int
+	// LoadsEach bounds the loads of one rank in one layer and decision; zero sets
+	// no bound.
+	LoadsEach int
 }
 
 // Defaults of a Policy.
--- a/placement/search.go
+++ b/placement/search.go
@@ -72,6 +72,7 @@
 	}
 	s.draft = s.base.Edit()
 	s.group = newGroup(shape, in)
+	s.group.reserve(p)
 	s.layer = newLayerState(&s.group)
 	return s, nil
 }
@@ -157,6 +158,15 @@
 	return g
 }
 
+// reserve applies a policy's own bounds on slots and loads.
+func (g *group) reserve(p Policy) {
+	g.loadsEach = p.LoadsEach
+	if p.Reserved > 0 {
+		g.limit = g.shape.Slots - p.Reserved
+		g.strict = true
+	}
+}
+
 // enter starts the search of one layer.
 func (s *search) enter(layer int) {
 	shape := s.group.shape
--- a/placement/step.go
+++ b/placement/step.go
@@ -112,7 +112,7 @@
 // worthLastSlot reports whether a step that leaves the given peak is worth the
 // last free slot of a rank.
 func (c *chooser) worthLastSlot(peak float64) bool {
-	return c.first-max(peak, c.second) >= lastSlotGain*c.l.mean
+	return !c.l.strict && c.first-max(peak, c.second) >= lastSlotGain*c.l.mean
 }
 
 // trySwap exchanges e on the hottest rank for b on rank r.
--- /dev/null
+++ b/rankgroup/agent.go
@@ -0,0 +1,505 @@
+package rankgroup
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
+	"github.com/cyclamenpoint/cyclamenpoint/peernews"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
+)
+
+const (
+	// lookPeriod is the time between two looks at the engine.
+	lookPeriod = 100 * time.Millisecond
+	// countPeriod is the time between two reports of the experts' counts: a
+	// window of the load estimate.
+	countPeriod = 500 * time.Millisecond
+	// leaderTimeout is the silence after which a leader counts as gone, and
+	// leaderStagger what each further rank waits longer, so that one of them
+	// comes first.
+	leaderTimeout = 700 * time.Millisecond
+	leaderStagger = 50 * time.Millisecond
+	// holdLimit is how long a hold may last before the agent beside the gate
+	// ends it: a good switch takes some ten ms.
+	holdLimit = 400 * time.Millisecond
+	// wantPath takes wants, expertsPath tells the experts in force.
+	wantPath    = "/rank/want"
+	expertsPath = "/rank/experts"
+	// maxWant bounds a want, in bytes.
+	maxWant = 256 << 10
+	// wantTimeout bounds the work on a want if the asking leader is gone.
+	wantTimeout = 8 * time.Second
+)
+
+// Settings is what an agent is told.
+type Settings struct {
+	Node          string
+	FailureDomain string
+	// Peers is where the system's other processes reach it.
+	Peers string
+	Seeds []string
+	// Endpoint is the engine's address.
+	Endpoint string
+	// ConfigTable and NodesTable are tables of the store.
+	ConfigTable, NodesTable string
+	// Service is the engine's service; empty takes the only one with experts.
+	Service string
+}
+
+// DecodeConfig returns the configuration in a copy of the table, or false if
+// there is none yet.
+type DecodeConfig func(c follow.Copy) (route.Config, bool, error)
+
+// Agent is the running process beside an engine.
+type Agent struct {
+	settings Settings
+	engine   Engine
+	keeper   *Keeper
+	log      *slog.Logger
+	decode   DecodeConfig
+	config   *follow.Follower
+	registry *peernews.Registry
+	news     *peernews.Peer
+	client   *http.Client
+	experts  atomic.Pointer[route.Experts]
+	state    atomic.Pointer[State]
+	lead     *leader
+
+	mu sync.Mutex
+	// heard is the rank of the group's leader and heardAt when it spoke last.
+	heard   int
+	heardAt time.Time
+	loads   map[string]timedLoad
+	// recovering is true while a left hold is being ended here.
+	recovering bool
+
+	// What follows belongs to the looking goroutine.
+	heldSince time.Time
+	lastCount Counts
+	countedAt time.Time
+	lost      bool
+}
+
+// timedLoad is a load report with its arrival.
+type timedLoad struct {
+	peernews.Load
+	at time.Time
+}
+
+// Store reads and writes the platform's tables.
+type Store = peernews.Store
+
+// configTiming suits an agent, which needs of the configuration only what
+// hardly ever changes.
+var configTiming = follow.Timing{Wait: 25 * time.Second, Pause: 5 * time.Second, Backoff: time.Second}
+
+// NewAgent returns an agent that does nothing until Run.
+func NewAgent(s Settings, engine Engine, store Store, decode DecodeConfig, log *slog.Logger) *Agent {
+	a := &Agent{
+		settings: s, engine: engine, keeper: NewKeeper(engine), log: log, decode: decode,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10}},
+		loads:  make(map[string]timedLoad), heardAt: time.Now(),
+	}
+	a.lead = newLeader(a)
+	a.config = follow.New(s.ConfigTable, store, configTiming, log, a.setConfig)
+	a.registry = peernews.NewRegistry(s.NodesTable, store, peernews.Node{
+		Name: s.Node, Kind: peernews.KindAgent, Address: s.Peers, FailureDomain: s.FailureDomain, Endpoint: s.Endpoint,
+	}, log, func([]peernews.Node) {})
+	a.news = peernews.NewPeer(s.Peers, s.Seeds, a.registry, []*follow.Follower{a.config, a.registry.Follower()}, log, a.takeLoads)
+	a.news.Hear(a.hear)
+	a.news.Handle(wantPath, a.serveWant)
+	a.news.Handle(expertsPath, a.serveExperts)
+	return a
+}
+
+// Run works until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){a.config.Run, a.registry.Run, a.news.Run, a.look, a.lead.run} {
+		duties.Go(func() { duty(ctx) })
+	}
+	duties.Wait()
+}
+
+// setConfig notes the shape of the group's maps.
+func (a *Agent) setConfig(c follow.Copy) {
+	cfg, ok, err := a.decode(c)
+	if err != nil {
+		a.log.Error("configuration cannot be used", "error", err.Error(), "as_of", c.AsOf)
+		return
+	}
+	if !ok {
+		return
+	}
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		if s.Engine != nil && s.Engine.Experts != nil && (a.settings.Service == "" || s.Name == a.settings.Service) {
+			a.experts.Store(s.Engine.Experts)
+		}
+	}
+}
+
+// look watches the engine and reports its load.
+func (a *Agent) look(ctx context.Context) {
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			a.lookOnce(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) lookOnce(ctx context.Context, now time.Time) {
+	state, err := a.keeper.state(ctx)
+	if (err != nil) != a.lost {
+		a.lost = err != nil
+		a.noteLost(err)
+	}
+	if err != nil {
+		return
+	}
+	a.state.Store(&state)
+	if state.Group == "" {
+		return
+	}
+	a.registry.Place(state.Group, state.Rank, state.Size)
+	a.watchHold(ctx, state, now)
+	a.report(ctx, state, now)
+}
+
+func (a *Agent) noteLost(err error) {
+	if err != nil {
+		a.log.Warn("engine does not answer", "endpoint", a.settings.Endpoint, "error", err.Error())
+		return
+	}
+	a.log.Info("engine answers", "endpoint", a.settings.Endpoint)
+}
+
+// watchHold ends a hold that its leader has left.
+func (a *Agent) watchHold(ctx context.Context, state State, now time.Time) {
+	if state.Held == 0 {
+		a.heldSince = time.Time{}
+		return
+	}
+	if a.heldSince.IsZero() {
+		a.heldSince = now
+	}
+	if now.Sub(a.heldSince) < holdLimit || !a.beginRecovery() {
+		return
+	}
+	go func() {
+		defer a.endRecovery()
+		group, err := a.group(state)
+		if err == nil {
+			err = a.recover(ctx, group, state)
+		}
+		if err != nil {
+			a.log.Warn("hold that was left is still in place", "group", state.Group, "step", state.Held, "error", err.Error())
+			return
+		}
+		a.log.Info("hold that was left has ended", "group", state.Group, "epoch", state.Epoch, "step", state.Held)
+	}()
+}
+
+func (a *Agent) recover(ctx context.Context, group *peers, state State) error {
+	inForce, err := group.inForce(ctx, a.shape(state))
+	if err != nil {
+		return err
+	}
+	known := []uint64{a.keeper.Newest(), state.Map, state.Prepared}
+	return Recover(ctx, group, state.Rank, NextVersion(known...), inForce)
+}
+
+func (a *Agent) beginRecovery() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.recovering {
+		return false
+	}
+	a.recovering = true
+	return true
+}
+
+func (a *Agent) endRecovery() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recovering = false
+}
+
+// shape returns the shape of the group's maps, with the slots for loads.
+func (a *Agent) shape(state State) expertmap.Shape {
+	e := a.experts.Load()
+	if e == nil {
+		return expertmap.Shape{}
+	}
+	return expertmap.Shape{Layers: e.Layers, Experts: e.Experts, Ranks: state.Size, Slots: e.Slots + e.Spare}
+}
+
+// report sends the engine's load, and from time to time the experts' counts, to
+// the group's leader.
+func (a *Agent) report(ctx context.Context, state State, now time.Time) {
+	load := peernews.Load{
+		Endpoint: a.settings.Endpoint, Running: state.Running, Queued: state.Queued,
+		Group: state.Group, Rank: state.Rank, Open: state.Open, Pace: state.Pace,
+	}
+	d := peernews.Datagram{From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank}
+	if now.Sub(a.countedAt) >= countPeriod {
+		a.countedAt = now
+		d.Counts = a.countsSince(ctx)
+	}
+	leaderRank, leading := a.leader(state, now)
+	if leading {
+		a.takeLoads(d.Loads)
+		if len(d.Counts) > 0 {
+			a.lead.count(state.Rank, d.Counts)
+		}
+		return
+	}
+	for _, n := range a.registry.Group(state.Group) {
+		if n.Rank == leaderRank && n.Address != a.settings.Peers {
+			a.news.Send(n.Address, d)
+		}
+	}
+}
+
+// countsSince returns the counts since the last call, nil at the first one and
+// after a restart of the engine.
+func (a *Agent) countsSince(ctx context.Context) []uint32 {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	counts, err := a.engine.Counts(ctx)
+	if err != nil {
+		a.log.Debug("no counts", "error", err.Error())
+		return nil
+	}
+	last := a.lastCount
+	a.lastCount = counts
+	if len(last.Counts) != len(counts.Counts) {
+		return nil
+	}
+	delta := make([]uint32, len(counts.Counts))
+	for i, n := range counts.Counts {
+		if n < last.Counts[i] {
+			return nil
+		}
+		delta[i] = uint32(n - last.Counts[i])
+	}
+	return delta
+}
+
+// leader returns the rank of the group's leader and whether it is this agent,
+// which takes over when it hears of none.
+func (a *Agent) leader(state State, now time.Time) (rank int, leading bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	silence := leaderTimeout + time.Duration(state.Rank)*leaderStagger
+	if a.heard != state.Rank && now.Sub(a.heardAt) >= silence {
+		a.log.Info("leading the group", "group", state.Group, "rank", state.Rank, "former", a.heard, "silent", now.Sub(a.heardAt).String())
+		a.heard = state.Rank
+	}
+	if a.heard == state.Rank {
+		a.heardAt = now
+	}
+	return a.heard, a.heard == state.Rank
+}
+
+// hear takes the datagrams of other agents.
+func (a *Agent) hear(d peernews.Datagram) {
+	state := a.state.Load()
+	if state == nil {
+		return
+	}
+	if len(d.Counts) > 0 {
+		a.lead.count(d.Rank, d.Counts)
+	}
+	if d.Leads != state.Group || d.Leads == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	// Of two leaders the one with the lower rank stays.
+	if a.heard == state.Rank && d.Rank > state.Rank && time.Since(a.heardAt) < leaderTimeout {
+		return
+	}
+	if a.heard != d.Rank {
+		a.log.Info("another agent leads the group", "group", d.Leads, "rank", d.Rank)
+	}
+	a.heard, a.heardAt = d.Rank, time.Now()
+}
+
+// takeLoads keeps the reports of the group's agents.
+func (a *Agent) takeLoads(loads []peernews.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range loads {
+		a.loads[l.Endpoint] = timedLoad{Load: l, at: time.Now()}
+	}
+}
+
+// freshLoads returns the reports that arrived of late.
+func (a *Agent) freshLoads(now time.Time) []peernews.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fresh := make([]peernews.Load, 0, len(a.loads))
+	for endpoint, l := range a.loads {
+		if now.Sub(l.at) > leaderTimeout {
+			delete(a.loads, endpoint)
+			continue
+		}
+		fresh = append(fresh, l.Load)
+	}
+	return fresh
+}
+
+// serveWant brings about what a leader wants of this engine.
+func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
+	var want Want
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxWant)).Decode(&want); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wantTimeout)
+	defer cancel()
+	state, err := a.keeper.Ensure(ctx, want)
+	a.log.Info("wanted by the leader", "want", string(want.Kind), "token", want.Token, "map", want.Version, "epoch", want.Epoch,
+		"step", want.Step, "error", errorText(err))
+	writeJSON(w, wantAnswer{State: state, Failure: encodeFailure(err)}, a.log)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// expertsAnswer tells the experts that a rank holds in the map in force.
+type expertsAnswer struct {
+	Version uint64               `json:"version"`
+	Experts [][]expertmap.Expert `json:"experts"`
+}
+
+func (a *Agent) serveExperts(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), wantTimeout)
+	defer cancel()
+	version, experts, err := a.engine.Experts(ctx)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	writeJSON(w, expertsAnswer{Version: version, Experts: experts}, a.log)
+}
+
+func writeJSON(w http.ResponseWriter, v any, log *slog.Logger) {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		log.Warn("answer not sent to a peer", "error", err.Error())
+	}
+}
+
+// group returns the way to the agents of all ranks.
+func (a *Agent) group(state State) (*peers, error) {
+	p := &peers{client: a.client, addresses: make([]string, state.Size)}
+	for _, n := range a.registry.Group(state.Group) {
+		if n.Size == state.Size && n.Rank < state.Size {
+			p.addresses[n.Rank] = n.Address
+		}
+	}
+	for rank, address := range p.addresses {
+		if address == "" {
+			return nil, &UnknownRankError{Group: state.Group, Rank: rank}
+		}
+	}
+	return p, nil
+}
+
+// peers reaches agents over HTTP. It implements Ranks.
+type peers struct {
+	client    *http.Client
+	addresses []string
+}
+
+// Size implements Ranks.
+func (p *peers) Size() int { return len(p.addresses) }
+
+// Ensure implements Ranks.
+func (p *peers) Ensure(ctx context.Context, rank int, w Want) (State, error) {
+	body, err := json.Marshal(w)
+	if err != nil {
+		return State{}, errors.WithStack(err)
+	}
+	var answer wantAnswer
+	if err := p.call(ctx, rank, wantPath, body, &answer); err != nil {
+		return State{}, err
+	}
+	return answer.State, answer.Failure.decode()
+}
+
+// inForce assembles the map in force from all ranks.
+func (p *peers) inForce(ctx context.Context, shape expertmap.Shape) (expertmap.Map, error) {
+	m, err := expertmap.New(shape)
+	if err != nil {
+		return m, err
+	}
+	draft, version := m.Edit(), uint64(0)
+	for rank := range p.addresses {
+		var answer expertsAnswer
+		if err := p.call(ctx, rank, expertsPath, nil, &answer); err != nil {
+			return m, err
+		}
+		if rank > 0 && answer.Version != version {
+			return m, &MixedError{First: version, Other: answer.Version}
+		}
+		version = answer.Version
+		if err := fill(draft, shape, rank, answer.Experts); err != nil {
+			return m, err
+		}
+	}
+	return draft.Map(), nil
+}
+
+// fill puts a rank's experts into a draft.
+func fill(draft *expertmap.Draft, shape expertmap.Shape, rank int, experts [][]expertmap.Expert) error {
+	if len(experts) != shape.Layers {
+		return &ShapeError{Field: "layers", Got: len(experts), Want: shape.Layers}
+	}
+	for layer, held := range experts {
+		if len(held) > shape.Slots {
+			return &ShapeError{Field: "experts of a layer", Got: len(held), Want: shape.Slots}
+		}
+		for slot, e := range held {
+			draft.Set(layer, rank, slot, e)
+		}
+	}
+	return nil
+}
+
+func (p *peers) call(ctx context.Context, rank int, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addresses[rank]+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return &peernews.PeerError{Peer: p.addresses[rank], Status: resp.StatusCode}
+	}
+	return errors.WithStack(json.NewDecoder(io.LimitReader(resp.Body, maxWant)).Decode(out))
+}
--- /dev/null
+++ b/rankgroup/keeper.go
@@ -0,0 +1,259 @@
+package rankgroup
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+)
+
+// Want is a condition of one engine that a leader asks its agent to bring
+// about.
+type Want struct {
+	Kind WantKind `json:"kind"`
+	// Token is the leader's: agents and engines refuse an older one.
+	Token uint64 `json:"token"`
+	Epoch uint64 `json:"epoch"`
+	// Version is the map's, Step the pass of the switch.
+	Version uint64 `json:"version,omitempty"`
+	Step    uint64 `json:"step,omitempty"`
+	// Map is the content for WantPrepared and WantVoid, as expertmap encodes it.
+	Map []byte `json:"map,omitempty"`
+}
+
+// WantKind is a condition of an engine.
+type WantKind string
+
+// The conditions.
+const (
+	// WantState asks for the state only.
+	WantState WantKind = "state"
+	// WantFence asks for the state after older leaders' wants are refused.
+	WantFence WantKind = "fence"
+	// WantPrepared: the map with the version is loaded.
+	WantPrepared WantKind = "prepared"
+	// WantHeld: the group is held at the step.
+	WantHeld WantKind = "held"
+	// WantArmed: the engine switches to the version at the step.
+	WantArmed WantKind = "armed"
+	// WantVoid: the engine is not armed, and no order that is still on its way
+	// can arm it, since a newer map with the version is the one prepared.
+	WantVoid WantKind = "void"
+	// WantReleased: the group is not held at the step.
+	WantReleased WantKind = "released"
+)
+
+const (
+	// answerTimeout bounds the wait for an engine's answer to an order or a
+	// question: it comes within some ms, or not at all.
+	answerTimeout = 150 * time.Millisecond
+	// pollPeriod is the time between two looks whether an order has taken effect.
+	pollPeriod = 20 * time.Millisecond
+	// loadTime is how long an engine may take to load a map before it is asked
+	// again.
+	loadTime = 2 * time.Second
+)
+
+// Keeper carries out wants beside one engine. It is safe for concurrent use.
+type Keeper struct {
+	engine Engine
+
+	mu sync.Mutex
+	// newest is the highest token that was seen.
+	newest uint64
+}
+
+// NewKeeper returns a keeper of an engine.
+func NewKeeper(engine Engine) *Keeper { return &Keeper{engine: engine} }
+
+// Newest returns the highest token that was seen.
+func (k *Keeper) Newest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.newest
+}
+
+// raise notes a token that was heard of elsewhere.
+func (k *Keeper) raise(token uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.newest = max(k.newest, token)
+}
+
+// Ensure brings about a want and returns the engine's state, in which it holds.
+// Errors are *FencedError, *EpochError, *PassedError, *RefusedError, or that of
+// the context with the newest failure.
+func (k *Keeper) Ensure(ctx context.Context, w Want) (State, error) {
+	if err := k.admit(w); err != nil {
+		return State{}, err
+	}
+	var last error
+	var loading time.Time
+	for {
+		state, err := k.step(ctx, w, &loading)
+		if err == nil || isFinal(err) {
+			return state, err
+		}
+		if err != errPending {
+			last = err
+		}
+		timer := time.NewTimer(pollPeriod)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			if last == nil {
+				last = ctx.Err()
+			}
+			return state, errors.WithMessage(last, string(w.Kind))
+		}
+		// A newer leader may have come while this one waited.
+		if err := k.admit(w); err != nil {
+			return state, err
+		}
+	}
+}
+
+// admit refuses wants of a leader that has been replaced.
+func (k *Keeper) admit(w Want) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if w.Kind == WantState {
+		return nil
+	}
+	if w.Token < k.newest {
+		return &FencedError{Token: w.Token, Newest: k.newest}
+	}
+	k.newest = w.Token
+	return nil
+}
+
+func isFinal(err error) bool {
+	switch err.(type) {
+	case *FencedError, *EpochError, *PassedError, *RefusedError:
+		return true
+	}
+	return false
+}
+
+// pendingError says that a condition does not hold yet.
+type pendingError struct{}
+
+// Error implements error.
+func (pendingError) Error() string { return "not yet" }
+
+var errPending error = pendingError{}
+
+// step looks at the engine and gives the order that is due, if any. loading is
+// until when an order to prepare that was taken may need no other.
+func (k *Keeper) step(ctx context.Context, w Want, loading *time.Time) (State, error) {
+	state, err := k.state(ctx)
+	if err != nil {
+		return state, err
+	}
+	if w.Kind == WantState || w.Kind == WantFence {
+		return state, nil
+	}
+	if state.Epoch != w.Epoch {
+		return state, &EpochError{Want: w.Epoch, Got: state.Epoch}
+	}
+	if done, err := w.holds(state); done || err != nil {
+		return state, err
+	}
+	if time.Now().Before(*loading) {
+		return state, errPending
+	}
+	order, err := w.order(state)
+	if err != nil {
+		return state, err
+	}
+	if err := k.order(ctx, order); err != nil {
+		return state, err
+	}
+	if order.Kind == Prepare {
+		*loading = time.Now().Add(loadTime)
+	}
+	return state, errPending
+}
+
+func (k *Keeper) state(ctx context.Context) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return k.engine.State(ctx)
+}
+
+func (k *Keeper) order(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	err := k.engine.Order(ctx, o)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Fenced {
+		return refused
+	}
+	if refused != nil {
+		// The state may have changed since it was read, by this very order sent
+		// earlier, or the step has begun: the next look tells.
+		return errPending
+	}
+	return err
+}
+
+// holds reports whether the want is fulfilled; an error says that it cannot be
+// any more.
+func (w Want) holds(s State) (bool, error) {
+	armed := Armed{Version: w.Version, Step: w.Step}
+	switch w.Kind {
+	case WantPrepared:
+		return s.Prepared == w.Version, nil
+	case WantHeld:
+		if s.Held == w.Step {
+			return true, nil
+		}
+		if s.Step >= w.Step {
+			return false, &PassedError{Step: w.Step, Now: s.Step}
+		}
+	case WantArmed:
+		if s.armedFor(armed) {
+			return true, nil
+		}
+		if s.Step >= w.Step {
+			return false, &PassedError{Step: w.Step, Now: s.Step}
+		}
+	case WantVoid:
+		return s.Armed == nil && s.Prepared == w.Version, nil
+	case WantReleased:
+		return s.Held != w.Step, nil
+	}
+	return false, nil
+}
+
+// order returns the order that brings the want about.
+func (w Want) order(s State) (Order, error) {
+	o := Order{Epoch: w.Epoch, Version: w.Version, Step: w.Step, Token: w.Token}
+	switch w.Kind {
+	case WantPrepared, WantVoid:
+		if s.Armed != nil && w.Kind == WantPrepared {
+			// A switch that is under way ends first.
+			return o, errPending
+		}
+		if s.Armed != nil {
+			o.Kind, o.Version = Disarm, s.Armed.Version
+			return o, nil
+		}
+		content, err := expertmap.Unmarshal(w.Map)
+		if err != nil {
+			return o, err
+		}
+		o.Kind, o.Map = Prepare, content
+	case WantHeld:
+		o.Kind = Hold
+	case WantArmed:
+		o.Kind = Arm
+	case WantReleased:
+		o.Kind = Release
+	}
+	return o, nil
+}
--- /dev/null
+++ b/rankgroup/lead.go
@@ -0,0 +1,285 @@
+package rankgroup
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/peernews"
+	"github.com/cyclamenpoint/cyclamenpoint/placement"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
+)
+
+const (
+	// spreadPeriod is the time between two reports of the group's load to the
+	// entry nodes.
+	spreadPeriod = 150 * time.Millisecond
+	// settleTimeout is how long a switch may take to show before the leader
+	// decides anew; a busy group gets there within a second.
+	settleTimeout = 3 * time.Second
+	// stuckLimit is how long a group with work may stand before the leader looks
+	// for a hold that was left.
+	stuckLimit = 900 * time.Millisecond
+	// copySlowdown is how much longer passes take while experts are copied, by
+	// the platform's description of its engines.
+	copySlowdown = 0.15
+	// horizonCopies is the time over which a change has to pay for itself, in
+	// times that a rank takes to fill its spare slots.
+	horizonCopies = 4
+)
+
+// leader decides the group's map while this agent leads.
+type leader struct {
+	a *Agent
+
+	mu sync.Mutex
+	// pending are the counts by rank that have not gone to the estimator.
+	pending map[int][]uint32
+
+	// What follows belongs to run.
+	estimator *placement.Estimator
+	shape     expertmap.Shape
+	window    int64
+	windowAt  time.Time
+	spreadAt  time.Time
+	maps      map[uint64]expertmap.Map
+	epoch     uint64
+	// switched is the version of the newest switch and switchedAt its time.
+	switched   uint64
+	switchedAt time.Time
+	// step is the newest pass that was seen, at stepAt.
+	step   uint64
+	stepAt time.Time
+	reason placement.Reason
+}
+
+func newLeader(a *Agent) *leader {
+	return &leader{a: a, pending: make(map[int][]uint32), maps: make(map[uint64]expertmap.Map)}
+}
+
+// count takes the counts of one rank.
+func (l *leader) count(rank int, counts []uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if have := l.pending[rank]; len(have) == len(counts) {
+		for i, n := range counts {
+			have[i] += n
+		}
+		return
+	}
+	l.pending[rank] = counts
+}
+
+func (l *leader) take() map[int][]uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := l.pending
+	l.pending = make(map[int][]uint32)
+	return taken
+}
+
+func (l *leader) run(ctx context.Context) {
+	ticker := time.NewTicker(lookPeriod / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			l.tick(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick does what is due if this agent leads.
+func (l *leader) tick(ctx context.Context, now time.Time) {
+	state := l.a.state.Load()
+	if state == nil || state.Group == "" {
+		return
+	}
+	if _, leading := l.a.leader(*state, now); !leading {
+		l.estimator = nil
+		return
+	}
+	if now.Sub(l.spreadAt) >= spreadPeriod {
+		l.spreadAt = now
+		l.spread(*state, now)
+	}
+	if now.Sub(l.windowAt) < countPeriod {
+		return
+	}
+	l.windowAt = now
+	if !l.begin(*state) {
+		return
+	}
+	l.observe()
+	if err := l.decide(ctx, *state, now); err != nil {
+		l.a.log.Warn("map not changed", "group", state.Group, "epoch", state.Epoch, "error", err.Error())
+	}
+}
+
+// spread tells the entry nodes of the group's load, and the group who leads.
+func (l *leader) spread(state State, now time.Time) {
+	d := l.a.news.Versions()
+	d.Loads, d.Leads, d.Rank = l.a.freshLoads(now), state.Group, state.Rank
+	for _, n := range l.a.registry.Nodes() {
+		if n.Address == l.a.settings.Peers {
+			continue
+		}
+		if n.Kind == peernews.KindEntry {
+			l.a.news.Send(n.Address, d)
+		} else if n.Group == state.Group {
+			l.a.news.Send(n.Address, peernews.Datagram{From: d.From, Leads: d.Leads, Rank: d.Rank})
+		}
+	}
+}
+
+// begin prepares the estimator; it returns false while the maps' shape is not
+// known.
+func (l *leader) begin(state State) bool {
+	shape := l.a.shape(state)
+	if shape.Layers == 0 {
+		return false
+	}
+	if l.estimator == nil || shape != l.shape {
+		l.shape, l.window = shape, 0
+		l.estimator = placement.NewEstimator(shape.Layers, shape.Experts, shape.Ranks, 0)
+		l.take()
+	}
+	if state.Epoch != l.epoch {
+		l.epoch, l.switched = state.Epoch, 0
+		clear(l.maps)
+	}
+	return true
+}
+
+// observe hands the counts of a window to the estimator.
+func (l *leader) observe() {
+	l.window++
+	for rank, counts := range l.take() {
+		err := l.estimator.Observe(placement.Report{Rank: rank, Window: l.window, Counts: counts})
+		if err != nil {
+			l.a.log.Warn("counts cannot be used", "rank", rank, "error", err.Error())
+		}
+	}
+	l.estimator.Close(l.window)
+}
+
+// decide lets the policy decide and puts its map in force.
+func (l *leader) decide(ctx context.Context, state State, now time.Time) error {
+	if state.Step != l.step || state.Running == 0 {
+		l.step, l.stepAt = state.Step, now
+	}
+	group, err := l.a.group(state)
+	if err != nil {
+		return err
+	}
+	if now.Sub(l.stepAt) >= stuckLimit && state.Open {
+		l.stepAt = now
+		return l.unstick(ctx, group)
+	}
+	if !state.Open || state.Armed != nil || (state.Map != l.switched && now.Sub(l.switchedAt) < settleTimeout) {
+		return nil
+	}
+	inForce, err := l.inForce(ctx, group, state)
+	if err != nil {
+		return err
+	}
+	experts := l.a.experts.Load()
+	decision, err := policy(experts, l.shape.Ranks).Decide(l.input(inForce, experts))
+	if err != nil {
+		return err
+	}
+	if !decision.Change {
+		if decision.Reason != l.reason {
+			l.reason = decision.Reason
+			l.a.log.Info("map stays", "group", state.Group, "map", state.Map, "decision", decision.String())
+		}
+		return nil
+	}
+	l.reason = decision.Reason
+	return l.change(ctx, group, state, inForce, decision)
+}
+
+// change puts a decided map in force.
+func (l *leader) change(ctx context.Context, group *peers, state State, inForce expertmap.Map, d placement.Decision) error {
+	began := time.Now()
+	plan := Plan{
+		Epoch: state.Epoch, Map: d.Map, InForce: inForce, Gate: (state.Rank + 1) % l.shape.Ranks,
+		Version: NextVersion(state.Map, state.Prepared, l.switched, l.a.keeper.Newest()),
+	}
+	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "decision", d.String())
+	err := Switch(ctx, group, plan)
+	if err != nil {
+		var fenced *FencedError
+		if errors.As(err, &fenced) {
+			l.a.keeper.raise(fenced.Newest)
+		}
+		return err
+	}
+	l.maps[plan.Version] = d.Map
+	l.switched, l.switchedAt = plan.Version, time.Now()
+	l.a.log.Info("map will be in force", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "after", time.Since(began).String())
+	return nil
+}
+
+// unstick looks for a hold that was left and ends it.
+func (l *leader) unstick(ctx context.Context, group *peers) error {
+	states, err := ensureAll(ctx, group, Want{Kind: WantState}, armTimeout)
+	if err != nil {
+		return errors.WithMessage(err, "group stands")
+	}
+	for rank := range states {
+		if states[rank].Held == 0 {
+			continue
+		}
+		inForce, err := group.inForce(ctx, l.shape)
+		if err != nil {
+			return err
+		}
+		return Recover(ctx, group, rank, NextVersion(l.a.keeper.Newest(), states[rank].Map, states[rank].Prepared), inForce)
+	}
+	return nil
+}
+
+// inForce returns the content of the map in force.
+func (l *leader) inForce(ctx context.Context, group *peers, state State) (expertmap.Map, error) {
+	if m, ok := l.maps[state.Map]; ok {
+		return m, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, armTimeout)
+	defer cancel()
+	m, err := group.inForce(ctx, l.shape)
+	if err == nil {
+		l.maps[state.Map] = m
+	}
+	return m, err
+}
+
+func (l *leader) input(inForce expertmap.Map, e *route.Experts) placement.Input {
+	in := placement.Input{
+		InForce: inForce, Loaded: inForce, Loads: l.estimator.Loads(),
+		Store: placement.Store{BytesPerSecond: e.LoadBytesPerSecond * float64(l.shape.Ranks)},
+	}
+	in.Ranks = make([]placement.Rank, l.shape.Ranks)
+	return in
+}
+
+// policy returns the placement policy at the group's own rates: what a copy
+// takes decides how far ahead a change has to pay, and what it costs.
+func policy(e *route.Experts, ranks int) placement.Policy {
+	copyOne := time.Duration(float64(e.ExpertBytes) / e.LoadBytesPerSecond * float64(time.Second))
+	fill := time.Duration(e.Layers*e.Spare) * copyOne
+	horizon := horizonCopies * fill
+	// A copy slows the whole group, while all ranks copy side by side.
+	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
+	return placement.Policy{
+		Objective: deployment.Objective{Skew: e.Share, Move: move}, ExpertBytes: e.ExpertBytes,
+		Horizon: horizon, BatchTime: fill, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
+		Reserved: e.Spare, LoadsEach: e.Spare,
+	}
+}
