Follow the demand for experts at the pace of requests; fill endpoints to a level

A tracker fades counts within the stay of a usual request instead. Direct now fills endpoints to the level that unseen requests reach.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -36,7 +36,7 @@
 			known[i].Tried = known[i].Tried || id == e.ID
 		}
 	}
-	choice := picker.DefaultDirect.Choose(known, rand.New(sharedSource{}))
+	choice := picker.DefaultDirect.Choose(known, g.loads.Arrived(service.Name, now), rand.New(sharedSource{}))
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.RefusedError{
 			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -5,6 +5,7 @@
 package outstanding
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -52,11 +53,13 @@
 	byAddress map[string]string
 	// nodes is how many nodes send requests.
 	nodes int
+	// rates count this node's requests by service.
+	rates map[string]*rate
 }
 
 // New returns an empty Loads.
 func New() *Loads {
-	return &Loads{states: make(map[string]*state), byAddress: make(map[string]string), nodes: 1}
+	return &Loads{states: make(map[string]*state), byAddress: make(map[string]string), nodes: 1, rates: make(map[string]*rate)}
 }
 
 // SetEndpoints replaces the known endpoints: ids by address. What is known of
@@ -173,3 +176,33 @@
 	e.Load = float64(max(s.report.Running+s.report.Queued+s.inFlight-s.reportedOwn, s.inFlight))
 	return e
 }
+
+const (
+	// ratePeriod is the time over which the rate of requests is averaged.
+	ratePeriod = 2 * time.Second
+	// reportAge is how old a report of load is on average when it is used, from
+	// the engine's word to the next report: the sum of the agents' periods.
+	reportAge = 250 * time.Millisecond
+)
+
+// rate is an average of arrivals a second that fades with time.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// Arrived counts a request for a service and returns how many requests of all
+// nodes the reports do not show yet.
+func (l *Loads) Arrived(service string, now time.Time) (unseen float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.rates[service]
+	if r == nil {
+		r = &rate{at: now}
+		l.rates[service] = r
+	}
+	fade := math.Exp(-now.Sub(r.at).Seconds() / ratePeriod.Seconds())
+	r.perSecond = r.perSecond*fade + 1/ratePeriod.Seconds()
+	r.at = now
+	return r.perSecond * float64(l.nodes) * reportAge.Seconds()
+}
--- a/picker/direct.go
+++ b/picker/direct.go
@@ -1,25 +1,26 @@
 package picker
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"time"
+	"slices"
 )
 
 // Direct chooses among endpoints that announced themselves and whose load is
 // known without a probe. It answers a load in which many entry nodes send
-// requests at the same time by reports that are some 100 ms old: it takes a
-// random one of the least loaded, so that nodes with the same reports do not all
-// take the same endpoint. It is immutable and safe for concurrent use.
+// requests at the same time by reports that are some 100 ms old. Whoever took
+// the least loaded endpoint by such a report would take it together with all
+// other nodes. So Direct spreads the requests that all nodes send in the age of
+// the reports: it fills the endpoints up to one common level, and draws each one
+// in proportion to what it lacks to that level. It is immutable and safe for
+// concurrent use.
 type Direct struct {
-	// Slack is by how many requests an endpoint may exceed the least loaded one
-	// and still be chosen.
-	Slack float64
 	// Queue is how many requests beyond its slots an endpoint is given.
 	Queue float64
 }
 
-// DefaultDirect balances within one request.
-var DefaultDirect = Direct{Slack: 0.75, Queue: 2}
+// DefaultDirect lets an endpoint queue what it takes up within a pass or two.
+var DefaultDirect = Direct{Queue: 2}
 
 // DirectEndpoint is what Direct knows of one endpoint.
 type DirectEndpoint struct {
@@ -36,22 +37,6 @@
 	Broken bool
 	// Tried is true if the request was there before.
 	Tried bool
-	// Share is the part of a full load that it should get while it starts, from
-	// 0 to 1; zero counts as 1.
-	Share float64
-}
-
-// weighted is the load as if the endpoint had its full share.
-func (e *DirectEndpoint) weighted() float64 {
-	if e.Share <= 0 || e.Share >= 1 {
-		return e.Load
-	}
-	return e.Load + float64(e.Slots)*(1-e.Share)
-}
-
-// room reports whether the endpoint takes one more request.
-func (d Direct) room(e *DirectEndpoint) bool {
-	return e.Load < float64(e.Slots)+d.Queue
 }
 
 // Choice is the outcome of Direct.Choose.
@@ -65,73 +50,81 @@
 	Ill bool
 }
 
-// Choose picks an endpoint for one attempt.
-func (d Direct) Choose(endpoints []DirectEndpoint, rng *rand.Rand) Choice {
-	choice := d.choose(endpoints, rng, false)
+// Choose picks an endpoint for one attempt. unseen is how many requests of all
+// nodes the loads do not show yet.
+func (d Direct) Choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand) Choice {
+	choice := d.choose(endpoints, unseen, rng, false)
 	if choice.Index >= 0 || choice.Full > 0 {
 		return choice
 	}
-	choice = d.choose(endpoints, rng, true)
+	choice = d.choose(endpoints, unseen, rng, true)
 	choice.Ill = choice.Index >= 0
 	return choice
 }
 
 // choose picks among the sound endpoints, or among the ill ones too.
-func (d Direct) choose(endpoints []DirectEndpoint, rng *rand.Rand, ill bool) Choice {
+func (d Direct) choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand, ill bool) Choice {
 	choice := Choice{Index: -1}
-	least := 0.0
+	open := make([]int, 0, len(endpoints))
 	for i := range endpoints {
 		e := &endpoints[i]
 		if e.Broken || e.Tried || (e.Ill && !ill) {
 			continue
 		}
 		choice.Usable++
-		if !d.room(e) {
+		if e.Load >= float64(e.Slots)+d.Queue {
 			choice.Full++
 			continue
 		}
-		if load := e.weighted(); choice.Index < 0 || load < least {
-			choice.Index, least = i, load
-		}
+		open = append(open, i)
 	}
-	if choice.Index >= 0 {
-		choice.Index = d.draw(endpoints, least, ill, rng)
+	if len(open) > 0 {
+		choice.Index = draw(endpoints, open, unseen, rng)
 	}
 	return choice
 }
 
+// draw takes one of the open endpoints in proportion to what it lacks to the
+// common level.
+func draw(endpoints []DirectEndpoint, open []int, unseen float64, rng *rand.Rand) int {
+	level := fillLevel(endpoints, open, max(unseen, 1))
+	total := 0.0
+	for _, i := range open {
+		total += lack(&endpoints[i], level)
+	}
+	at := rng.Float64() * total
+	for _, i := range open {
+		if at -= lack(&endpoints[i], level); at < 0 {
+			return i
+		}
+	}
+	return open[len(open)-1]
+}
+
 // nearWeight is how many times as likely an endpoint of the own failure domain
 // is taken as an equally loaded one elsewhere.
-const nearWeight = 2
+const nearWeight = 1.5
 
-// draw takes one of the endpoints within Slack of the least loaded one.
-func (d Direct) draw(endpoints []DirectEndpoint, least float64, ill bool, rng *rand.Rand) int {
-	chosen, total := -1, 0
-	for i := range endpoints {
-		e := &endpoints[i]
-		if e.Broken || e.Tried || (e.Ill && !ill) || !d.room(e) || e.weighted() > least+d.Slack {
-			continue
-		}
-		weight := 1
-		if e.Near {
-			weight = nearWeight
-		}
-		total += weight
-		if rng.IntN(total) < weight {
-			chosen = i
-		}
+// lack is the weight of an endpoint: what it is below the level.
+func lack(e *DirectEndpoint, level float64) float64 {
+	weight := max(level-e.Load, 0)
+	if e.Near {
+		weight *= nearWeight
 	}
-	return chosen
+	return weight
 }
 
-// SlowStart returns the share of an endpoint that started some time ago and
-// takes warm to reach its full speed.
-func SlowStart(age, warm time.Duration) float64 {
-	if warm <= 0 || age >= warm {
-		return 1
+// fillLevel is the load that the open endpoints reach if n requests fill the
+// least loaded ones first. It sorts open by load.
+func fillLevel(endpoints []DirectEndpoint, open []int, n float64) float64 {
+	slices.SortFunc(open, func(a, b int) int { return cmp.Compare(endpoints[a].Load, endpoints[b].Load) })
+	sum := 0.0
+	for k, i := range open {
+		sum += endpoints[i].Load
+		level := (sum + n) / float64(k+1)
+		if k+1 == len(open) || level <= endpoints[open[k+1]].Load {
+			return level
+		}
 	}
-	return max(float64(age)/float64(warm), leastShare)
+	return 0
 }
-
-// leastShare is the share of an endpoint that has just started.
-const leastShare = 0.2
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -24,7 +24,7 @@
 	lookPeriod = 100 * time.Millisecond
 	// countPeriod is the time between two reports of the experts' counts: a
 	// window of the load estimate.
-	countPeriod = 500 * time.Millisecond
+	countPeriod = 200 * time.Millisecond
 	// leaderTimeout is the silence after which a leader counts as gone, and
 	// leaderStagger what each further rank waits longer, so that one of them
 	// comes first.
@@ -72,9 +72,10 @@
 	registry *peernews.Registry
 	news     *peernews.Peer
 	client   *http.Client
-	experts  atomic.Pointer[route.Experts]
-	state    atomic.Pointer[State]
-	lead     *leader
+	// engineModel is what the configuration says of the engines.
+	engineModel atomic.Pointer[route.Engine]
+	state       atomic.Pointer[State]
+	lead        *leader
 
 	mu sync.Mutex
 	// heard is the rank of the group's leader and heardAt when it spoke last.
@@ -145,7 +146,7 @@
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
 		if s.Engine != nil && s.Engine.Experts != nil && (a.settings.Service == "" || s.Name == a.settings.Service) {
-			a.experts.Store(s.Engine.Experts)
+			a.engineModel.Store(s.Engine)
 		}
 	}
 }
@@ -243,10 +244,11 @@
 
 // shape returns the shape of the group's maps, with the slots for loads.
 func (a *Agent) shape(state State) expertmap.Shape {
-	e := a.experts.Load()
-	if e == nil {
+	model := a.engineModel.Load()
+	if model == nil {
 		return expertmap.Shape{}
 	}
+	e := model.Experts
 	return expertmap.Shape{Layers: e.Layers, Experts: e.Experts, Ranks: state.Size, Slots: e.Slots + e.Spare}
 }
 
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -30,10 +30,10 @@
 	armTimeout = 1200 * time.Millisecond
 	// stepsAhead is how many passes lie between now and a switch: about the time
 	// that arming takes, so that the gate stops nobody in the usual case.
-	stepsAhead = 6
+	stepsAhead = 2
 	// stepsSpread parts the steps of two switches that follow each other while
 	// the group is idle.
-	stepsSpread = 5
+	stepsSpread = 3
 	// recoverTimeout bounds one try to end a hold that somebody left.
 	recoverTimeout = 2 * time.Second
 )
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -29,7 +29,9 @@
 	copySlowdown = 0.15
 	// horizonCopies is the time over which a change has to pay for itself, in
 	// times that a rank takes to fill its spare slots.
-	horizonCopies = 4
+	horizonCopies = 2
+	// batchPart is the part of that time that the copies of one change may take.
+	batchPart = 0.25
 )
 
 // leader decides the group's map while this agent leads.
@@ -41,9 +43,8 @@
 	pending map[int][]uint32
 
 	// What follows belongs to run.
-	estimator *placement.Estimator
+	estimator *placement.Tracker
 	shape     expertmap.Shape
-	window    int64
 	windowAt  time.Time
 	spreadAt  time.Time
 	maps      map[uint64]expertmap.Map
@@ -146,8 +147,8 @@
 		return false
 	}
 	if l.estimator == nil || shape != l.shape {
-		l.shape, l.window = shape, 0
-		l.estimator = placement.NewEstimator(shape.Layers, shape.Experts, shape.Ranks, 0)
+		l.shape = shape
+		l.estimator = placement.NewTracker(shape.Layers, shape.Experts, memory(l.a.engineModel.Load()))
 		l.take()
 	}
 	if state.Epoch != l.epoch {
@@ -159,14 +160,12 @@
 
 // observe hands the counts of a window to the estimator.
 func (l *leader) observe() {
-	l.window++
 	for rank, counts := range l.take() {
-		err := l.estimator.Observe(placement.Report{Rank: rank, Window: l.window, Counts: counts})
-		if err != nil {
+		if err := l.estimator.Observe(rank, counts); err != nil {
 			l.a.log.Warn("counts cannot be used", "rank", rank, "error", err.Error())
 		}
 	}
-	l.estimator.Close(l.window)
+	l.estimator.Close()
 }
 
 // decide lets the policy decide and puts its map in force.
@@ -189,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	experts := l.a.experts.Load()
+	experts := l.a.engineModel.Load().Experts
 	decision, err := policy(experts, l.shape.Ranks).Decide(l.input(inForce, experts))
 	if err != nil {
 		return err
@@ -269,17 +268,30 @@
 	return in
 }
 
+// fillTime is how long a rank takes to fill its spare slots.
+func fillTime(e *route.Experts) time.Duration {
+	copyOne := float64(e.ExpertBytes) / e.LoadBytesPerSecond
+	return time.Duration(float64(e.Layers*e.Spare) * copyOne * float64(time.Second))
+}
+
+// memory is over how many windows the estimate of the load is averaged: the
+// time for which a usual request stays and chooses the same experts.
+func memory(e *route.Engine) float64 {
+	stay := time.Duration(e.UsualAnswer) * e.Step
+	return max(stay.Seconds()/countPeriod.Seconds(), 1)
+}
+
 // policy returns the placement policy at the group's own rates: what a copy
 // takes decides how far ahead a change has to pay, and what it costs.
 func policy(e *route.Experts, ranks int) placement.Policy {
-	copyOne := time.Duration(float64(e.ExpertBytes) / e.LoadBytesPerSecond * float64(time.Second))
-	fill := time.Duration(e.Layers*e.Spare) * copyOne
+	fill := fillTime(e)
+	copyOne := fill / time.Duration(max(e.Layers*e.Spare, 1))
 	horizon := horizonCopies * fill
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
 		Objective: deployment.Objective{Skew: e.Share, Move: move}, ExpertBytes: e.ExpertBytes,
-		Horizon: horizon, BatchTime: fill, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
+		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
 		Reserved: e.Spare, LoadsEach: e.Spare,
 	}
 }
