Reach engines whose agent has stopped; less time between hold and release

Orders of one want follow each other at once, a leader's own rank needs no call, a switch begins only while all ranks report, and a recoverer reaches an engine past its agent, fenced by its token.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -33,10 +33,20 @@
 	byID     map[string]Endpoint
 }
 
-// NewSet returns a set of endpoints, ordered by id.
+// NewSet returns a set of endpoints, ordered by id. Of two at one address only
+// the one that started last is there: the other's entry outlives it.
 func NewSet(endpoints []Endpoint) *Set {
 	s := &Set{services: make(map[string][]Endpoint), byID: make(map[string]Endpoint, len(endpoints))}
+	newest := make(map[string]time.Time, len(endpoints))
 	for _, e := range endpoints {
+		if e.Started.After(newest[e.Address]) {
+			newest[e.Address] = e.Started
+		}
+	}
+	for _, e := range endpoints {
+		if e.Started.Before(newest[e.Address]) {
+			continue
+		}
 		s.byID[e.ID] = e
 		s.services[e.Service] = append(s.services[e.Service], e)
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -71,16 +71,23 @@
 	// Pause is the least time between two calls, so that changes in quick
 	// succession come as one.
 	Pause time.Duration
-	// Backoff is the time before a call that follows a failed one.
+	// Backoff is the time before a call that follows a failed one; it doubles up
+	// to BackoffMost with each further failure.
 	Backoff time.Duration
 }
 
+// BackoffMost is the longest time between two calls to a store that does not
+// answer: what changes meanwhile is in force late by as much.
+const BackoffMost = time.Second
+
 // Follower keeps the copy of one table. Current, Adopt and Contact may be
 // called from any goroutine.
 type Follower struct {
-	table   string
-	source  Source
-	timing  Timing
+	table  string
+	source Source
+	timing Timing
+	// started is closed once there is a copy.
+	started chan struct{}
 	log     *slog.Logger
 	current atomic.Pointer[Copy]
 	changed func(Copy)
@@ -97,7 +104,7 @@
 // New returns a follower; changed is called with each newer copy, one call at a
 // time.
 func New(table string, source Source, timing Timing, log *slog.Logger, changed func(Copy)) *Follower {
-	f := &Follower{table: table, source: source, timing: timing, log: log, changed: changed, lostAt: time.Now()}
+	f := &Follower{started: make(chan struct{}), table: table, source: source, timing: timing, log: log, changed: changed, lostAt: time.Now()}
 	f.current.Store(&Copy{})
 	return f
 }
@@ -120,16 +127,34 @@
 	return f.install(c)
 }
 
+// Started waits for the first copy, at most for the given time, and reports
+// whether there is one.
+func (f *Follower) Started(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-f.started:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // Table returns the name of the table.
 func (f *Follower) Table() string { return f.table }
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	backoff := f.timing.Backoff
 	for ctx.Err() == nil {
 		err := f.once(ctx)
 		pause := f.timing.Pause
 		if err != nil {
-			pause = f.timing.Backoff
+			pause = backoff
+			backoff = min(2*backoff, BackoffMost)
+		} else {
+			backoff = f.timing.Backoff
 		}
 		if ctx.Err() == nil {
 			f.note(err)
@@ -184,6 +209,9 @@
 		return false
 	}
 	f.current.Store(&c)
+	if now.AsOf == 0 {
+		close(f.started)
+	}
 	if now.AsOf == 0 || c.Changed != now.Changed {
 		f.changed(c)
 	}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -30,7 +30,7 @@
 		estimate := g.loads.Estimate(e.ID, now)
 		known[i] = picker.DirectEndpoint{
 			Slots: e.Slots, Load: estimate.Load, Near: e.FailureDomain == g.settings.FailureDomain,
-			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed,
+			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved,
 		}
 		for _, id := range tried {
 			known[i].Tried = known[i].Tried || id == e.ID
@@ -40,7 +40,7 @@
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.RefusedError{
 			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
-			After:  fullRetryAfter,
+			After:  retryAfter(choice.Full > 0),
 		}
 	}
 	return forward.Target{
@@ -49,8 +49,26 @@
 	}, nil
 }
 
-// fullRetryAfter is when a caller may come back that found all endpoints full.
-const fullRetryAfter = 700 * time.Millisecond
+const (
+	// fullRetryAfter is when a caller may come back that found all endpoints
+	// full: about the time in which an endpoint's slots serve one request each.
+	fullRetryAfter = 900 * time.Millisecond
+	// downRetryAfter is when one may that found none able to serve: a group that
+	// has lost a rank takes some seconds to form anew.
+	downRetryAfter = 1800 * time.Millisecond
+	// returnSpread is the part of these times over which returns are spread, so
+	// that they are no burst of their own.
+	returnSpread = 0.4
+)
+
+// retryAfter tells a caller when there will be room.
+func retryAfter(full bool) time.Duration {
+	after := downRetryAfter
+	if full {
+		after = fullRetryAfter
+	}
+	return time.Duration(float64(after) * (1 + returnSpread*(rand.Float64()-0.5)))
+}
 
 // connectionsEach is a node's part of the connections that an endpoint accepts.
 func (g *Gateway) connectionsEach(limit int) int {
@@ -71,7 +89,10 @@
 	switch verdict {
 	case forward.Served:
 		p.g.loads.Succeeded(target.ID)
-	case forward.Failed, forward.Moved:
+	case forward.Moved:
+		p.g.loads.Moved(target.ID)
+		p.g.log.Warn("another endpoint is at the address", "endpoint", target.ID, "address", target.Address)
+	case forward.Failed:
 		if p.g.loads.Failed(target.ID) {
 			p.g.log.Warn("endpoint counts as ill", "endpoint", target.ID, "service", target.Service)
 		}
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -135,10 +135,12 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
+	transport := engineTransport()
+	direct := func(address string) rankgroup.Engine { return platform.NewEngine(address, transport) }
 	agent := rankgroup.NewAgent(rankgroup.Settings{
 		Node: s.Node, FailureDomain: s.FailureDomain, Peers: peersAddress(s, agentPort), Seeds: seeds(s), Endpoint: s.Endpoint,
 		ConfigTable: platform.TableConfig, NodesTable: platform.TableNodes, Service: s.Service,
-	}, platform.NewEngine(s.Endpoint, engineTransport()), platform.NewStore(s.Store, storeTransport()), platform.Protocol{}.DecodeConfig, log)
+	}, platform.NewEngine(s.Endpoint, transport), direct, platform.NewStore(s.Store, storeTransport()), platform.Protocol{}.DecodeConfig, log)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -43,6 +43,7 @@
 	reportedAt  time.Time
 	failures    int
 	illUntil    time.Time
+	movedUntil  time.Time
 }
 
 // Loads holds the load of all endpoints by id. It is safe for concurrent use.
@@ -132,6 +133,17 @@
 	return true
 }
 
+// movedFor is how long an endpoint that is not at its address is left alone: its
+// entry is removed after three heartbeats of silence.
+const movedFor = 5 * time.Second
+
+// Moved says that another endpoint is at the address.
+func (l *Loads) Moved(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state(id).movedUntil = time.Now().Add(movedFor)
+}
+
 // Learn takes a report on the endpoint at an address.
 func (l *Loads) Learn(address string, r Report) {
 	l.mu.Lock()
@@ -155,6 +167,8 @@
 	Closed bool
 	// Ill is true if requests failed there of late.
 	Ill bool
+	// Moved is true if another endpoint was found at the address.
+	Moved bool
 }
 
 // Estimate returns what is thought of an endpoint.
@@ -165,7 +179,7 @@
 	if s == nil {
 		return Estimate{}
 	}
-	e := Estimate{Ill: now.Before(s.illUntil)}
+	e := Estimate{Ill: now.Before(s.illUntil), Moved: now.Before(s.movedUntil)}
 	if now.Sub(s.reportedAt) >= reportLife {
 		// Without reports, the other nodes are taken to send as much.
 		e.Load = float64(s.inFlight * l.nodes)
--- a/peernews/registry.go
+++ b/peernews/registry.go
@@ -6,6 +6,7 @@
 package peernews
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -49,10 +50,13 @@
 const (
 	// enrolRetry is the time between two tries to write a process's own row.
 	enrolRetry = 500 * time.Millisecond
+	// enrolWait is how long a process waits to see its former row before it
+	// writes a new one.
+	enrolWait = 500 * time.Millisecond
 )
 
 // registryTiming gathers the rows of processes that start together.
-var registryTiming = follow.Timing{Wait: 20 * time.Second, Pause: 1500 * time.Millisecond, Backoff: 500 * time.Millisecond}
+var registryTiming = follow.Timing{Wait: 20 * time.Second, Pause: time.Second, Backoff: 500 * time.Millisecond}
 
 // Registry knows the system's processes and makes this one known. It is safe
 // for concurrent use.
@@ -75,7 +79,10 @@
 	r := &Registry{table: table, store: store, log: log, self: self, changed: changed, enrol: make(chan struct{}, 1)}
 	r.nodes.Store(&[]Node{})
 	r.follower = follow.New(table, store, registryTiming, log, r.set)
-	r.enrol <- struct{}{}
+	if self.Kind == KindEntry {
+		r.enrol <- struct{}{}
+	}
+	// An agent enrols once it knows its endpoint's place in a group.
 	return r
 }
 
@@ -149,6 +156,9 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { r.follower.Run(ctx) })
 	defer duties.Wait()
+	if !r.follower.Started(ctx, enrolWait) {
+		r.log.Warn("table of processes not read yet")
+	}
 	for {
 		select {
 		case <-r.enrol:
@@ -159,11 +169,15 @@
 	}
 }
 
-// write writes this process's row until the store has taken it.
+// write writes this process's row until the store has it.
 func (r *Registry) write(ctx context.Context) {
 	for ctx.Err() == nil {
 		self := r.Self()
 		value, err := json.Marshal(self)
+		if bytes.Equal(value, r.follower.Current().Rows[self.Name].Value) {
+			// The row of an earlier process of the same place still holds.
+			return
+		}
 		if err == nil {
 			err = r.store.Put(ctx, r.table, self.Name, value)
 		}
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -1,7 +1,6 @@
 package rankgroup
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
@@ -33,6 +30,9 @@
 	// holdLimit is how long a hold may last before the agent beside the gate
 	// ends it: a good switch takes some ten ms.
 	holdLimit = 400 * time.Millisecond
+	// reportLimit is the age of a rank's report from which its agent may have
+	// stopped: no switch begins then.
+	reportLimit = 350 * time.Millisecond
 	// wantPath takes wants, expertsPath tells the experts in force.
 	wantPath    = "/rank/want"
 	expertsPath = "/rank/experts"
@@ -65,6 +65,7 @@
 type Agent struct {
 	settings Settings
 	engine   Engine
+	direct   func(address string) Engine
 	keeper   *Keeper
 	log      *slog.Logger
 	decode   DecodeConfig
@@ -106,9 +107,10 @@
 var configTiming = follow.Timing{Wait: 25 * time.Second, Pause: 5 * time.Second, Backoff: time.Second}
 
 // NewAgent returns an agent that does nothing until Run.
-func NewAgent(s Settings, engine Engine, store Store, decode DecodeConfig, log *slog.Logger) *Agent {
+// direct opens the way to an engine on another VM, whose agent does not answer.
+func NewAgent(s Settings, engine Engine, direct func(address string) Engine, store Store, decode DecodeConfig, log *slog.Logger) *Agent {
 	a := &Agent{
-		settings: s, engine: engine, keeper: NewKeeper(engine), log: log, decode: decode,
+		settings: s, engine: engine, direct: direct, keeper: NewKeeper(engine), log: log, decode: decode,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10}},
 		loads:  make(map[string]timedLoad), heardAt: time.Now(),
 	}
@@ -368,6 +370,20 @@
 	return fresh
 }
 
+// reporting returns how many ranks reported of late, and the mean utilisation of
+// the given number of slots at each.
+func (a *Agent) reporting(now time.Time, slots int) (ranks int, busy float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, l := range a.loads {
+		if now.Sub(l.at) <= reportLimit {
+			ranks++
+			busy += min(float64(l.Running+l.Queued)/float64(max(slots, 1)), 1)
+		}
+	}
+	return ranks, busy / float64(max(ranks, 1))
+}
+
 // serveWant brings about what a leader wants of this engine.
 func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
 	var want Want
@@ -415,10 +431,10 @@
 
 // group returns the way to the agents of all ranks.
 func (a *Agent) group(state State) (*peers, error) {
-	p := &peers{client: a.client, addresses: make([]string, state.Size)}
+	p := &peers{client: a.client, addresses: make([]string, state.Size), endpoints: make([]string, state.Size), direct: a.direct, log: a.log, self: state.Rank, keeper: a.keeper}
 	for _, n := range a.registry.Group(state.Group) {
 		if n.Size == state.Size && n.Rank < state.Size {
-			p.addresses[n.Rank] = n.Address
+			p.addresses[n.Rank], p.endpoints[n.Rank] = n.Address, n.Endpoint
 		}
 	}
 	for rank, address := range p.addresses {
@@ -428,80 +444,3 @@
 	}
 	return p, nil
 }
-
-// peers reaches agents over HTTP. It implements Ranks.
-type peers struct {
-	client    *http.Client
-	addresses []string
-}
-
-// Size implements Ranks.
-func (p *peers) Size() int { return len(p.addresses) }
-
-// Ensure implements Ranks.
-func (p *peers) Ensure(ctx context.Context, rank int, w Want) (State, error) {
-	body, err := json.Marshal(w)
-	if err != nil {
-		return State{}, errors.WithStack(err)
-	}
-	var answer wantAnswer
-	if err := p.call(ctx, rank, wantPath, body, &answer); err != nil {
-		return State{}, err
-	}
-	return answer.State, answer.Failure.decode()
-}
-
-// inForce assembles the map in force from all ranks.
-func (p *peers) inForce(ctx context.Context, shape expertmap.Shape) (expertmap.Map, error) {
-	m, err := expertmap.New(shape)
-	if err != nil {
-		return m, err
-	}
-	draft, version := m.Edit(), uint64(0)
-	for rank := range p.addresses {
-		var answer expertsAnswer
-		if err := p.call(ctx, rank, expertsPath, nil, &answer); err != nil {
-			return m, err
-		}
-		if rank > 0 && answer.Version != version {
-			return m, &MixedError{First: version, Other: answer.Version}
-		}
-		version = answer.Version
-		if err := fill(draft, shape, rank, answer.Experts); err != nil {
-			return m, err
-		}
-	}
-	return draft.Map(), nil
-}
-
-// fill puts a rank's experts into a draft.
-func fill(draft *expertmap.Draft, shape expertmap.Shape, rank int, experts [][]expertmap.Expert) error {
-	if len(experts) != shape.Layers {
-		return &ShapeError{Field: "layers", Got: len(experts), Want: shape.Layers}
-	}
-	for layer, held := range experts {
-		if len(held) > shape.Slots {
-			return &ShapeError{Field: "experts of a layer", Got: len(held), Want: shape.Slots}
-		}
-		for slot, e := range held {
-			draft.Set(layer, rank, slot, e)
-		}
-	}
-	return nil
-}
-
-func (p *peers) call(ctx context.Context, rank int, path string, body []byte, out any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addresses[rank]+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &peernews.PeerError{Peer: p.addresses[rank], Status: resp.StatusCode}
-	}
-	return errors.WithStack(json.NewDecoder(io.LimitReader(resp.Body, maxWant)).Decode(out))
-}
--- a/rankgroup/keeper.go
+++ b/rankgroup/keeper.go
@@ -60,6 +60,8 @@
 // Keeper carries out wants beside one engine. It is safe for concurrent use.
 type Keeper struct {
 	engine Engine
+	// lag is how old the engine's state may be, zero beside the engine.
+	lag time.Duration
 
 	mu sync.Mutex
 	// newest is the highest token that was seen.
@@ -90,13 +92,17 @@
 	if err := k.admit(w); err != nil {
 		return State{}, err
 	}
+	var work work
 	var last error
-	var loading time.Time
 	for {
-		state, err := k.step(ctx, w, &loading)
+		state, err := k.try(ctx, w, &work)
 		if err == nil || isFinal(err) {
 			return state, err
 		}
+		if err == errTaken {
+			// The engine has carried the order out: its state tells at once.
+			continue
+		}
 		if err != errPending {
 			last = err
 		}
@@ -147,9 +153,33 @@
 
 var errPending error = pendingError{}
 
-// step looks at the engine and gives the order that is due, if any. loading is
-// until when an order to prepare that was taken may need no other.
-func (k *Keeper) step(ctx context.Context, w Want, loading *time.Time) (State, error) {
+// takenError says that the engine has just taken an order.
+type takenError struct{}
+
+// Error implements error.
+func (takenError) Error() string { return "order taken" }
+
+var errTaken error = takenError{}
+
+// work is the progress on one want.
+type work struct {
+	// fenced is true once the engine refuses older leaders' orders.
+	fenced bool
+	// loading is until when an order to prepare that was taken needs no other.
+	loading time.Time
+}
+
+// try looks at the engine and gives the order that is due, if any.
+func (k *Keeper) try(ctx context.Context, w Want, progress *work) (State, error) {
+	if !progress.fenced {
+		if err := k.fence(ctx, w); err != nil {
+			return State{}, err
+		}
+		progress.fenced = true
+	}
+	if err := k.settle(ctx); err != nil {
+		return State{}, err
+	}
 	state, err := k.state(ctx)
 	if err != nil {
 		return state, err
@@ -163,7 +193,7 @@
 	if done, err := w.holds(state); done || err != nil {
 		return state, err
 	}
-	if time.Now().Before(*loading) {
+	if time.Now().Before(progress.loading) {
 		return state, errPending
 	}
 	order, err := w.order(state)
@@ -174,9 +204,41 @@
 		return state, err
 	}
 	if order.Kind == Prepare {
-		*loading = time.Now().Add(loadTime)
+		progress.loading = time.Now().Add(loadTime)
+		return state, errPending
+	}
+	return state, errTaken
+}
+
+// unusedVersion is below all versions that NextVersion gives.
+const unusedVersion = 1
+
+// fence makes an engine refuse the orders of older leaders, by an order without
+// effect. Beside the engine the agent itself refuses them.
+func (k *Keeper) fence(ctx context.Context, w Want) error {
+	if k.lag == 0 || w.Kind == WantState {
+		return nil
+	}
+	err := k.order(ctx, Order{Kind: Disarm, Version: unusedVersion, Token: w.Token})
+	if err == errPending {
+		return nil
+	}
+	return err
+}
+
+// settle waits until the engine's report shows all earlier orders.
+func (k *Keeper) settle(ctx context.Context) error {
+	if k.lag == 0 {
+		return nil
+	}
+	timer := time.NewTimer(k.lag)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return state, errPending
 }
 
 func (k *Keeper) state(ctx context.Context) (State, error) {
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -30,6 +30,9 @@
 	// horizonCopies is the time over which a change has to pay for itself, in
 	// times that a rank takes to fill its spare slots.
 	horizonCopies = 2
+	// busyGain is the inverse of the utilisation from which each gain counts in
+	// full: half of the slots leave room for the bursts that fill them.
+	busyGain = 2
 	// batchPart is the part of that time that the copies of one change may take.
 	batchPart = 0.25
 )
@@ -184,12 +187,16 @@
 	if !state.Open || state.Armed != nil || (state.Map != l.switched && now.Sub(l.switchedAt) < settleTimeout) {
 		return nil
 	}
+	model := l.a.engineModel.Load()
+	ranks, busy := l.a.reporting(now, model.Slots)
+	if ranks < l.shape.Ranks {
+		return nil
+	}
 	inForce, err := l.inForce(ctx, group, state)
 	if err != nil {
 		return err
 	}
-	experts := l.a.engineModel.Load().Experts
-	decision, err := policy(experts, l.shape.Ranks).Decide(l.input(inForce, experts))
+	decision, err := policy(model.Experts, l.shape.Ranks, busy).Decide(l.input(inForce, model.Experts))
 	if err != nil {
 		return err
 	}
@@ -282,15 +289,17 @@
 }
 
 // policy returns the placement policy at the group's own rates: what a copy
-// takes decides how far ahead a change has to pay, and what it costs.
-func policy(e *route.Experts, ranks int) placement.Policy {
+// takes decides how far ahead a change has to pay, and what it costs. busy is
+// the utilisation of the group's slots, from 0 to 1: a shorter step serves
+// callers as far as there is work for it.
+func policy(e *route.Experts, ranks int, busy float64) placement.Policy {
 	fill := fillTime(e)
 	copyOne := fill / time.Duration(max(e.Layers*e.Spare, 1))
 	horizon := horizonCopies * fill
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
-		Objective: deployment.Objective{Skew: e.Share, Move: move}, ExpertBytes: e.ExpertBytes,
+		Objective: deployment.Objective{Skew: e.Share * min(busy*busyGain, 1), Move: move}, ExpertBytes: e.ExpertBytes,
 		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
 		Reserved: e.Spare, LoadsEach: e.Spare,
 	}
