End a hold whose leader stopped without waiting for the leader's engine

The leader now gives the hold itself, to the engine of another rank, and arms its own rank last, so a rank that is not armed proves that the leader's is not; the agent beside the gate ends the hold without it.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -29,7 +29,7 @@
 	leaderStagger = 50 * time.Millisecond
 	// holdLimit is how long a hold may last before the agent beside the gate
 	// ends it: a good switch takes some ten ms.
-	holdLimit = 400 * time.Millisecond
+	holdLimit = 150 * time.Millisecond
 	// reportLimit is the age of a rank's report from which its agent may have
 	// stopped: no switch begins then.
 	reportLimit = 350 * time.Millisecond
@@ -220,12 +220,8 @@
 }
 
 func (a *Agent) recover(ctx context.Context, group *peers, state State) error {
-	inForce, err := group.inForce(ctx, a.shape(state))
-	if err != nil {
-		return err
-	}
 	known := []uint64{a.keeper.Newest(), state.Map, state.Prepared}
-	return Recover(ctx, group, state.Rank, NextVersion(known...), inForce)
+	return Recover(ctx, group, Left{Gate: state.Rank, Leader: a.keeper.leading(), Version: NextVersion(known...), Shape: a.shape(state)})
 }
 
 func (a *Agent) beginRecovery() bool {
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +21,8 @@
 	// are those of Keeper.Ensure, or say that the agent was not reached, which
 	// leaves open what it does.
 	Ensure(ctx context.Context, rank int, w Want) (State, error)
+	// Hold gives an order to a rank's engine itself.
+	Hold(ctx context.Context, rank int, o Order) error
 }
 
 const (
@@ -36,6 +40,8 @@
 	stepsSpread = 3
 	// recoverTimeout bounds one try to end a hold that somebody left.
 	recoverTimeout = 2 * time.Second
+	// absentTimeout bounds the search for a leader that has probably stopped.
+	absentTimeout = 2 * quickTimeout
 )
 
 // versionSpread is the room for a random part in versions, so that two leaders
@@ -56,89 +62,178 @@
 	Epoch   uint64
 	Version uint64
 	Map     expertmap.Map
-	// InForce is the map of now, which a switch that fails falls back to.
-	InForce expertmap.Map
-	// Gate is the rank that holds the group.
-	Gate int
+	// Gate is the rank that holds the group, Leader the rank beside which the
+	// leader runs; they differ.
+	Gate, Leader int
+}
+
+// want is a want of the plan.
+func (p Plan) want(kind WantKind, step uint64) Want {
+	return Want{Kind: kind, Token: p.Version, Leader: p.Leader, Epoch: p.Epoch, Version: p.Version, Step: step}
 }
 
 // Switch puts a map in force at all ranks or at none. It returns once all ranks
 // will switch at one step, or an error: then the gate was released without a
 // switch, or the agent beside the gate ends the hold.
+//
+// The leader's own rank is armed last. So if the leader's VM stops, and its
+// engine can be reached no more, a rank that is not armed proves that the
+// leader's is not either.
 func Switch(ctx context.Context, ranks Ranks, p Plan) error {
-	want := Want{Kind: WantPrepared, Token: p.Version, Epoch: p.Epoch, Version: p.Version, Map: p.Map.Marshal()}
-	states, err := ensureAll(ctx, ranks, want, prepareTimeout)
+	prepare := p.want(WantPrepared, 0)
+	prepare.Map = p.Map.Marshal()
+	states, err := ensureAll(ctx, ranks, everyRank(ranks), prepare, prepareTimeout)
 	if err != nil {
 		return errors.WithMessage(err, "prepare")
 	}
 	step := newestStep(states) + stepsAhead + rand.Uint64N(stepsSpread)
-	want = Want{Kind: WantHeld, Token: p.Version, Epoch: p.Epoch, Version: p.Version, Step: step}
-	if _, err := ensure(ctx, ranks, p.Gate, want, armTimeout); err != nil {
+	if err := hold(ctx, ranks, p, step); err != nil {
 		return errors.WithMessage(err, "hold")
 	}
-	want.Kind = WantArmed
-	if _, err := ensureAll(ctx, ranks, want, armTimeout); err != nil {
+	if err := arm(ctx, ranks, p, step); err != nil {
 		// The caller's context may have ended; the gate must not stay closed.
 		abort := context.WithoutCancel(ctx)
-		return errors.WithMessage(errors.WithMessagef(err, "arm (%v)", Recover(abort, ranks, p.Gate, NextVersion(p.Version), p.InForce)), "switch")
+		failed := Recover(abort, ranks, Left{Gate: p.Gate, Leader: noRank, Version: NextVersion(p.Version), Shape: p.Map.Shape()})
+		return errors.WithMessagef(err, "arm, then recover (%v)", failed)
 	}
-	want.Kind = WantReleased
-	if _, err := ensure(ctx, ranks, p.Gate, want, armTimeout); err != nil {
-		return errors.WithMessage(err, "release")
+	_, err = ensure(ctx, ranks, p.Gate, p.want(WantReleased, step), armTimeout)
+	return errors.WithMessage(err, "release")
+}
+
+// hold closes the gate. The leader gives the order to the engine itself, so
+// that the agent beside the gate can end the hold if the leader's VM stops.
+func hold(ctx context.Context, ranks Ranks, p Plan, step uint64) error {
+	quick, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	// An order without an answer may have been carried out or not: the agent
+	// looks, and gives it again if it has to.
+	_ = ranks.Hold(quick, p.Gate, Order{Kind: Hold, Epoch: p.Epoch, Step: step, Token: p.Version})
+	_, err := ensure(ctx, ranks, p.Gate, p.want(WantHeld, step), armTimeout)
+	return err
+}
+
+// arm arms all ranks, the leader's last.
+func arm(ctx context.Context, ranks Ranks, p Plan, step uint64) error {
+	want := p.want(WantArmed, step)
+	others := slices.DeleteFunc(everyRank(ranks), func(rank int) bool { return rank == p.Leader })
+	if _, err := ensureAll(ctx, ranks, others, want, armTimeout); err != nil {
+		return err
 	}
-	return nil
+	_, err := ensure(ctx, ranks, p.Leader, want, armTimeout)
+	return err
+}
+
+// Left is a hold that its leader did not end.
+type Left struct {
+	// Gate is the rank that holds the group.
+	Gate int
+	// Leader is the rank of that leader, which may have stopped with its engine,
+	// or noRank.
+	Leader int
+	// Version is a new one.
+	Version uint64
+	// Shape is that of the group's maps.
+	Shape expertmap.Shape
 }
 
-// Recover ends a hold at a gate that its leader did not end: it releases the
-// gate once all ranks will switch together, or once none is armed or can become
-// so. version is a new one, inForce the map of now.
-func Recover(ctx context.Context, ranks Ranks, gate int, version uint64, inForce expertmap.Map) error {
-	fence := Want{Kind: WantFence, Token: version}
-	if _, err := ensureAll(ctx, ranks, fence, recoverTimeout); err != nil {
+// noRank stands for no rank.
+const noRank = -1
+
+// Recover ends a hold that was left: it releases the gate once all ranks will
+// switch together, or once none is armed or can become so.
+func Recover(ctx context.Context, ranks Ranks, l Left) error {
+	fence := Want{Kind: WantFence, Token: l.Version, Leader: noRank}
+	reached, err := reach(ctx, ranks, fence, l.Leader)
+	if err != nil {
 		return errors.WithMessage(err, "fence")
 	}
-	// No older leader changes anything from here on.
-	states, err := ensureAll(ctx, ranks, fence, recoverTimeout)
+	// No older leader changes anything at these ranks from here on.
+	states, err := ensureAll(ctx, ranks, reached, fence, recoverTimeout)
 	if err != nil {
 		return errors.WithMessage(err, "look")
 	}
-	held, epoch := states[gate].Held, states[gate].Epoch
+	held, epoch := states[l.Gate].Held, states[l.Gate].Epoch
 	if held == 0 {
 		return nil
 	}
-	if !together(states) {
-		void := Want{Kind: WantVoid, Token: version, Epoch: epoch, Version: version, Map: inForce.Marshal()}
-		if _, err := ensureAll(ctx, ranks, void, recoverTimeout); err != nil {
+	if len(reached) < ranks.Size() && allArmed(states, reached) {
+		return errors.WithStack(&UnreachedError{Rank: l.Leader})
+	}
+	if !together(states, reached) {
+		void := Want{Kind: WantVoid, Token: l.Version, Leader: noRank, Epoch: epoch, Version: l.Version, Shape: l.Shape}
+		if _, err := ensureAll(ctx, ranks, reached, void, recoverTimeout); err != nil {
 			return errors.WithMessage(err, "void")
 		}
 	}
-	release := Want{Kind: WantReleased, Token: version, Epoch: epoch, Step: held}
-	_, err = ensure(ctx, ranks, gate, release, recoverTimeout)
+	release := Want{Kind: WantReleased, Token: l.Version, Leader: noRank, Epoch: epoch, Step: held}
+	_, err = ensure(ctx, ranks, l.Gate, release, recoverTimeout)
 	return errors.WithMessage(err, "release")
 }
 
-// together reports whether the states allow the group to step on: no rank is
-// armed, or all are for the same switch, or have made it already.
-func together(states []State) bool {
-	var due *Armed
-	for i := range states {
-		if states[i].Armed == nil {
-			continue
+// UnreachedError says that a rank that may be armed cannot be reached.
+type UnreachedError struct{ Rank int }
+
+// Error implements error.
+func (e *UnreachedError) Error() string {
+	return "rank " + strconv.Itoa(e.Rank) + " may be armed and cannot be reached"
+}
+
+// reach fences all ranks. The one beside which the leader ran may be missing.
+func reach(ctx context.Context, ranks Ranks, fence Want, leader int) ([]int, error) {
+	others := slices.DeleteFunc(everyRank(ranks), func(rank int) bool { return rank == leader })
+	if leader == noRank {
+		_, err := ensureAll(ctx, ranks, others, fence, recoverTimeout)
+		return others, err
+	}
+	reached := others
+	var missing sync.WaitGroup
+	missing.Go(func() {
+		if _, err := ensure(ctx, ranks, leader, fence, absentTimeout); err == nil {
+			reached = everyRank(ranks)
 		}
-		if due != nil && *due != *states[i].Armed {
+	})
+	_, err := ensureAll(ctx, ranks, others, fence, recoverTimeout)
+	missing.Wait()
+	return reached, err
+}
+
+// allArmed reports whether each of the ranks is armed or has switched.
+func allArmed(states []State, ranks []int) bool {
+	due := armed(states, ranks)
+	if due == nil {
+		return false
+	}
+	for _, rank := range ranks {
+		if states[rank].Armed == nil && states[rank].Map != due.Version {
 			return false
 		}
-		due = states[i].Armed
 	}
+	return true
+}
+
+// armed returns a switch for which some rank is armed, or nil.
+func armed(states []State, ranks []int) *Armed {
+	for _, rank := range ranks {
+		if states[rank].Armed != nil {
+			return states[rank].Armed
+		}
+	}
+	return nil
+}
+
+// together reports whether the states allow the group to step on: no rank is
+// armed, or all are for the same switch, or have made it already.
+func together(states []State, ranks []int) bool {
+	due := armed(states, ranks)
 	if due == nil {
 		return true
 	}
-	for i := range states {
-		if states[i].Armed == nil && states[i].Map != due.Version {
+	for _, rank := range ranks {
+		if states[rank].Armed != nil && *states[rank].Armed != *due {
 			return false
 		}
 	}
-	return true
+	return allArmed(states, ranks)
 }
 
 func newestStep(states []State) uint64 {
@@ -149,38 +244,51 @@
 	return step
 }
 
+func everyRank(ranks Ranks) []int {
+	all := make([]int, ranks.Size())
+	for rank := range all {
+		all[rank] = rank
+	}
+	return all
+}
+
 func ensure(ctx context.Context, ranks Ranks, rank int, w Want, timeout time.Duration) (State, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return ranks.Ensure(ctx, rank, w)
 }
 
-// ensureAll asks all agents side by side. The states are by rank; the error is
-// the first one.
-func ensureAll(ctx context.Context, ranks Ranks, w Want, timeout time.Duration) ([]State, error) {
+// ensureAll asks the agents of some ranks side by side. The states are by rank;
+// the error is one that ends the matter if there is one, else the first.
+func ensureAll(ctx context.Context, ranks Ranks, some []int, w Want, timeout time.Duration) ([]State, error) {
+	states := make([]State, ranks.Size())
+	var first error
+	for rank, err := range each(ctx, ranks, some, w, states, timeout) {
+		if err == nil {
+			continue
+		}
+		if first == nil || isFinal(err) {
+			first = errors.WithMessagef(err, "rank %d", rank)
+		}
+	}
+	return states, first
+}
+
+// each asks the agents of some ranks side by side, and returns the errors by
+// rank. One rank that cannot ends the work of the others.
+func each(ctx context.Context, ranks Ranks, some []int, w Want, states []State, timeout time.Duration) []error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	states := make([]State, ranks.Size())
 	failures := make([]error, ranks.Size())
 	var asked sync.WaitGroup
-	for rank := range states {
+	for _, rank := range some {
 		asked.Go(func() {
 			states[rank], failures[rank] = ranks.Ensure(ctx, rank, w)
 			if isFinal(failures[rank]) {
-				// One rank that cannot is enough.
 				cancel()
 			}
 		})
 	}
 	asked.Wait()
-	var first error
-	for rank, err := range failures {
-		if err == nil {
-			continue
-		}
-		if err = errors.WithMessagef(err, "rank %d", rank); first == nil || isFinal(errors.Cause(err)) {
-			first = err
-		}
-	}
-	return states, first
+	return failures
 }
--- a/rankgroup/keeper.go
+++ b/rankgroup/keeper.go
@@ -16,12 +16,16 @@
 	Kind WantKind `json:"kind"`
 	// Token is the leader's: agents and engines refuse an older one.
 	Token uint64 `json:"token"`
-	Epoch uint64 `json:"epoch"`
+	// Leader is the rank beside which the leader runs, noRank for a recovery.
+	Leader int    `json:"leader"`
+	Epoch  uint64 `json:"epoch"`
 	// Version is the map's, Step the pass of the switch.
 	Version uint64 `json:"version,omitempty"`
 	Step    uint64 `json:"step,omitempty"`
-	// Map is the content for WantPrepared and WantVoid, as expertmap encodes it.
+	// Map is the content for WantPrepared, as expertmap encodes it.
 	Map []byte `json:"map,omitempty"`
+	// Shape is that of the group's maps, for WantVoid.
+	Shape expertmap.Shape `json:"shape"`
 }
 
 // WantKind is a condition of an engine.
@@ -64,12 +68,14 @@
 	lag time.Duration
 
 	mu sync.Mutex
-	// newest is the highest token that was seen.
+	// newest is the highest token that was seen, and leader the rank of its
+	// leader.
 	newest uint64
+	leader int
 }
 
 // NewKeeper returns a keeper of an engine.
-func NewKeeper(engine Engine) *Keeper { return &Keeper{engine: engine} }
+func NewKeeper(engine Engine) *Keeper { return &Keeper{engine: engine, leader: noRank} }
 
 // Newest returns the highest token that was seen.
 func (k *Keeper) Newest() uint64 {
@@ -78,11 +84,20 @@
 	return k.newest
 }
 
+// leading returns the rank of the leader with the highest token.
+func (k *Keeper) leading() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leader
+}
+
 // raise notes a token that was heard of elsewhere.
 func (k *Keeper) raise(token uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.newest = max(k.newest, token)
+	if token > k.newest {
+		k.newest, k.leader = token, noRank
+	}
 }
 
 // Ensure brings about a want and returns the engine's state, in which it holds.
@@ -133,7 +148,9 @@
 	if w.Token < k.newest {
 		return &FencedError{Token: w.Token, Newest: k.newest}
 	}
-	k.newest = w.Token
+	if w.Token > k.newest {
+		k.newest, k.leader = w.Token, w.Leader
+	}
 	return nil
 }
 
@@ -196,7 +213,7 @@
 	if time.Now().Before(progress.loading) {
 		return state, errPending
 	}
-	order, err := w.order(state)
+	order, err := k.due(ctx, w, state)
 	if err != nil {
 		return state, err
 	}
@@ -292,24 +309,25 @@
 	return false, nil
 }
 
-// order returns the order that brings the want about.
-func (w Want) order(s State) (Order, error) {
+// due returns the order that brings the want about.
+func (k *Keeper) due(ctx context.Context, w Want, s State) (Order, error) {
 	o := Order{Epoch: w.Epoch, Version: w.Version, Step: w.Step, Token: w.Token}
+	var err error
 	switch w.Kind {
-	case WantPrepared, WantVoid:
-		if s.Armed != nil && w.Kind == WantPrepared {
+	case WantPrepared:
+		if s.Armed != nil {
 			// A switch that is under way ends first.
 			return o, errPending
 		}
+		o.Kind = Prepare
+		o.Map, err = expertmap.Unmarshal(w.Map)
+	case WantVoid:
 		if s.Armed != nil {
 			o.Kind, o.Version = Disarm, s.Armed.Version
 			return o, nil
 		}
-		content, err := expertmap.Unmarshal(w.Map)
-		if err != nil {
-			return o, err
-		}
-		o.Kind, o.Map = Prepare, content
+		o.Kind = Prepare
+		o.Map, err = k.voidMap(ctx, w.Shape, s.Rank)
 	case WantHeld:
 		o.Kind = Hold
 	case WantArmed:
@@ -317,5 +335,42 @@
 	case WantReleased:
 		o.Kind = Release
 	}
-	return o, nil
+	return o, err
+}
+
+// voidMap returns a map that the engine can prepare without a load: its own
+// experts as they are, and all others in turn at the other ranks. It never comes
+// into force.
+func (k *Keeper) voidMap(ctx context.Context, shape expertmap.Shape, rank int) (expertmap.Map, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	_, own, err := k.engine.Experts(ctx)
+	if err != nil {
+		return expertmap.Map{}, err
+	}
+	m, err := expertmap.New(shape)
+	if err != nil {
+		return m, err
+	}
+	draft := m.Edit()
+	if err := fill(draft, shape, rank, own); err != nil {
+		return m, err
+	}
+	for layer := range shape.Layers {
+		used := make([]int, shape.Ranks)
+		next := rank
+		for e := range shape.Experts {
+			at := e % shape.Ranks
+			if at == rank {
+				next = (next + 1) % shape.Ranks
+				if next == rank {
+					next = (next + 1) % shape.Ranks
+				}
+				at = next
+			}
+			draft.Set(layer, at, used[at], expertmap.Expert(e))
+			used[at]++
+		}
+	}
+	return draft.Map(), nil
 }
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -208,14 +208,14 @@
 		return nil
 	}
 	l.reason = decision.Reason
-	return l.change(ctx, group, state, inForce, decision)
+	return l.change(ctx, group, state, decision)
 }
 
 // change puts a decided map in force.
-func (l *leader) change(ctx context.Context, group *peers, state State, inForce expertmap.Map, d placement.Decision) error {
+func (l *leader) change(ctx context.Context, group *peers, state State, d placement.Decision) error {
 	began := time.Now()
 	plan := Plan{
-		Epoch: state.Epoch, Map: d.Map, InForce: inForce, Gate: (state.Rank + 1) % l.shape.Ranks,
+		Epoch: state.Epoch, Map: d.Map, Gate: (state.Rank + 1) % l.shape.Ranks, Leader: state.Rank,
 		Version: NextVersion(state.Map, state.Prepared, l.switched, l.a.keeper.Newest()),
 	}
 	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "decision", d.String())
@@ -235,7 +235,7 @@
 
 // unstick looks for a hold that was left and ends it.
 func (l *leader) unstick(ctx context.Context, group *peers) error {
-	states, err := ensureAll(ctx, group, Want{Kind: WantState}, armTimeout)
+	states, err := ensureAll(ctx, group, everyRank(group), Want{Kind: WantState}, armTimeout)
 	if err != nil {
 		return errors.WithMessage(err, "group stands")
 	}
@@ -243,11 +243,8 @@
 		if states[rank].Held == 0 {
 			continue
 		}
-		inForce, err := group.inForce(ctx, l.shape)
-		if err != nil {
-			return err
-		}
-		return Recover(ctx, group, rank, NextVersion(l.a.keeper.Newest(), states[rank].Map, states[rank].Prepared), inForce)
+		version := NextVersion(l.a.keeper.Newest(), states[rank].Map, states[rank].Prepared)
+		return Recover(ctx, group, Left{Gate: rank, Leader: noRank, Version: version, Shape: l.shape})
 	}
 	return nil
 }
@@ -299,7 +296,7 @@
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
-		Objective: deployment.Objective{Skew: e.Share * min(busy*busyGain, 1), Move: move}, ExpertBytes: e.ExpertBytes,
+		Objective: deployment.Objective{Skew: e.Share * min(max((busy-0.3)/0.4, 0), 1), Move: move}, ExpertBytes: e.ExpertBytes,
 		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
 		Reserved: e.Spare, LoadsEach: e.Spare,
 	}
--- a/rankgroup/peers.go
+++ b/rankgroup/peers.go
@@ -19,7 +19,7 @@
 const (
 	// quickTimeout bounds an agent's answer to a want that takes no work; one
 	// that is slower has stopped or is cut off.
-	quickTimeout = 300 * time.Millisecond
+	quickTimeout = 150 * time.Millisecond
 	// reportLag is how old an engine's report on itself may be when it is asked
 	// from another VM, by the platform's description of its engines, with room.
 	reportLag = 350 * time.Millisecond
@@ -81,6 +81,11 @@
 	p.silent[rank] = true
 }
 
+// Hold implements Ranks.
+func (p *peers) Hold(ctx context.Context, rank int, o Order) error {
+	return p.direct(p.endpoints[rank]).Order(ctx, o)
+}
+
 // ask sends a want to the agent of a rank.
 func (p *peers) ask(ctx context.Context, rank int, w Want) (State, error) {
 	if w.quick() {
