--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -112,13 +112,17 @@
 	return err
 }
 
-// arm arms all ranks, the leader's last.
+// arm arms all ranks, then the gate, and the leader's rank last: whoever ends
+// the hold sees by the gate how far a leader that stopped had come.
 func arm(ctx context.Context, ranks Ranks, p Plan, step uint64) error {
 	want := p.want(WantArmed, step)
-	others := slices.DeleteFunc(everyRank(ranks), func(rank int) bool { return rank == p.Leader })
+	others := slices.DeleteFunc(everyRank(ranks), func(rank int) bool { return rank == p.Leader || rank == p.Gate })
 	if _, err := ensureAll(ctx, ranks, others, want, armTimeout); err != nil {
 		return err
 	}
+	if _, err := ensure(ctx, ranks, p.Gate, want, armTimeout); err != nil {
+		return err
+	}
 	_, err := ensure(ctx, ranks, p.Leader, want, armTimeout)
 	return err
 }
