Keep the gate from stopping passes while orders go unanswered

Cause: streams are late by one pause above 120 ms, and a switch with a lost order (150 ms until it was given again) closed the gate for longer than the 2 to 4 passes ahead. The gate now lies as many passes further ahead as gates of late were closed; a lost order is given again after 70 ms. Each served stream's line tells its longest pause.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -131,10 +131,14 @@
 
 // pass writes one event, and the head before the first one.
 func (r *run) pass(resp *http.Response, event eventstream.Event, more bool) error {
-	if !r.begun {
+	now := time.Now()
+	if r.begun {
+		r.longestGap = max(r.longestGap, now.Sub(r.lastAt))
+	} else {
 		r.sink.Head(resp.StatusCode, r.f.codec.AnswerHeaders(resp.Header), -1)
-		r.begun, r.firstAt = true, time.Now()
+		r.begun, r.firstAt = true, now
 	}
+	r.lastAt = now
 	if err := r.sink.Write(event.Raw); err != nil {
 		return err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,11 +183,16 @@
 	lastEvent string
 	events    int
 	firstAt   time.Time
+	lastAt    time.Time
+	// longestGap is the longest time between two events.
+	longestGap time.Duration
 	// kept is an endpoint's failure that the caller gets if no other attempt
 	// does better.
 	kept *keptAnswer
-	// endpoint is the one of the newest attempt.
+	// endpoint is the one of the newest attempt, and load the estimate behind its
+	// choice.
 	endpoint string
+	load     float64
 }
 
 func (r *run) do(ctx context.Context) *problem.Problem {
@@ -196,7 +201,7 @@
 		if err != nil {
 			return r.final(r.refusal(err))
 		}
-		r.endpoint = target.ID
+		r.endpoint, r.load = target.ID, target.Load
 		result := r.attempt(ctx, target)
 		r.f.picker.Learn(target, result.verdict)
 		if result.done {
@@ -283,13 +288,13 @@
 	m := r.req.Match
 	attrs := []any{
 		"request", r.req.ID, "route", m.Route.Name, "service", m.Service.Name, "config", m.Version,
-		"endpoint", r.endpoint, "sends", r.sends, "ms", time.Since(r.req.Arrived).Milliseconds(),
+		"endpoint", r.endpoint, "load", r.load, "sends", r.sends, "ms", time.Since(r.req.Arrived).Milliseconds(),
 	}
 	if m.Organisation != nil {
 		attrs = append(attrs, "organisation", m.Organisation.Name)
 	}
 	if m.Route.Stream && !r.firstAt.IsZero() {
-		attrs = append(attrs, "first_event_ms", r.firstAt.Sub(r.req.Arrived).Milliseconds(), "events", r.events)
+		attrs = append(attrs, "first_event_ms", r.firstAt.Sub(r.req.Arrived).Milliseconds(), "events", r.events, "longest_gap_ms", r.longestGap.Milliseconds())
 	}
 	if p == nil {
 		r.f.log.Info("request served", attrs...)
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -32,8 +32,7 @@
 	// armTimeout bounds the arming of all ranks; an answer takes some ms, and one
 	// that gets lost is asked for again after answerTimeout.
 	armTimeout = 1200 * time.Millisecond
-	// stepsAhead is how many passes lie between now and a switch: about the time
-	// that arming takes, so that the gate stops nobody in the usual case.
+	// stepsAhead is how many passes lie at least between now and a switch.
 	stepsAhead = 2
 	// stepsSpread parts the steps of two switches that follow each other while
 	// the group is idle.
@@ -65,6 +64,9 @@
 	// Gate is the rank that holds the group, Leader the rank beside which the
 	// leader runs; they differ.
 	Gate, Leader int
+	// Ahead is how many more passes lie between now and the switch: as many as
+	// fit into the time that arming takes, so that the gate stops nobody.
+	Ahead uint64
 }
 
 // want is a want of the plan.
@@ -79,25 +81,28 @@
 // The leader's own rank is armed last. So if the leader's VM stops, and its
 // engine can be reached no more, a rank that is not armed proves that the
 // leader's is not either.
-func Switch(ctx context.Context, ranks Ranks, p Plan) error {
+//
+// closed is how long the gate was closed.
+func Switch(ctx context.Context, ranks Ranks, p Plan) (closed time.Duration, err error) {
 	prepare := p.want(WantPrepared, 0)
 	prepare.Map = p.Map.Marshal()
 	states, err := ensureAll(ctx, ranks, everyRank(ranks), prepare, prepareTimeout)
 	if err != nil {
-		return errors.WithMessage(err, "prepare")
+		return 0, errors.WithMessage(err, "prepare")
 	}
-	step := newestStep(states) + stepsAhead + rand.Uint64N(stepsSpread)
+	began := time.Now()
+	step := newestStep(states) + stepsAhead + p.Ahead + rand.Uint64N(stepsSpread)
 	if err := hold(ctx, ranks, p, step); err != nil {
-		return errors.WithMessage(err, "hold")
+		return time.Since(began), errors.WithMessage(err, "hold")
 	}
 	if err := arm(ctx, ranks, p, step); err != nil {
 		// The caller's context may have ended; the gate must not stay closed.
 		abort := context.WithoutCancel(ctx)
 		failed := Recover(abort, ranks, Left{Gate: p.Gate, Leader: noRank, Version: NextVersion(p.Version), Shape: p.Map.Shape()})
-		return errors.WithMessagef(err, "arm, then recover (%v)", failed)
+		return time.Since(began), errors.WithMessagef(err, "arm, then recover (%v)", failed)
 	}
 	_, err = ensure(ctx, ranks, p.Gate, p.want(WantReleased, step), armTimeout)
-	return errors.WithMessage(err, "release")
+	return time.Since(began), errors.WithMessage(err, "release")
 }
 
 // hold closes the gate. The leader gives the order to the engine itself, so
--- a/rankgroup/keeper.go
+++ b/rankgroup/keeper.go
@@ -52,8 +52,8 @@
 
 const (
 	// answerTimeout bounds the wait for an engine's answer to an order or a
-	// question: it comes within some ms, or not at all.
-	answerTimeout = 150 * time.Millisecond
+	// question: beside the engine it comes within some ms, or not at all.
+	answerTimeout = 70 * time.Millisecond
 	// pollPeriod is the time between two looks whether an order has taken effect.
 	pollPeriod = 20 * time.Millisecond
 	// loadTime is how long an engine may take to load a map before it is asked
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -30,6 +30,11 @@
 	// horizonCopies is the time over which a change has to pay for itself, in
 	// times that a rank takes to fill its spare slots.
 	horizonCopies = 2
+	// closedKeep is the part in 100 of the time that a gate was closed which the
+	// next switch still allows for, and maxAhead bounds the passes that follow
+	// from it.
+	closedKeep = 80
+	maxAhead   = 12
 	// busyGain is the inverse of the utilisation from which each gain counts in
 	// full: half of the slots leave room for the bursts that fill them.
 	busyGain = 2
@@ -58,7 +63,10 @@
 	// step is the newest pass that was seen, at stepAt.
 	step   uint64
 	stepAt time.Time
-	reason placement.Reason
+	// pass is the time that a pass took of late, closed how long a gate was
+	// closed, fading with each switch.
+	pass, closed time.Duration
+	reason       placement.Reason
 }
 
 func newLeader(a *Agent) *leader {
@@ -174,6 +182,9 @@
 // decide lets the policy decide and puts its map in force.
 func (l *leader) decide(ctx context.Context, state State, now time.Time) error {
 	if state.Step != l.step || state.Running == 0 {
+		if state.Step > l.step && !l.stepAt.IsZero() {
+			l.pass = now.Sub(l.stepAt) / time.Duration(state.Step-l.step)
+		}
 		l.step, l.stepAt = state.Step, now
 	}
 	group, err := l.a.group(state)
@@ -216,10 +227,11 @@
 	began := time.Now()
 	plan := Plan{
 		Epoch: state.Epoch, Map: d.Map, Gate: (state.Rank + 1) % l.shape.Ranks, Leader: state.Rank,
-		Version: NextVersion(state.Map, state.Prepared, l.switched, l.a.keeper.Newest()),
+		Ahead: l.ahead(), Version: NextVersion(state.Map, state.Prepared, l.switched, l.a.keeper.Newest()),
 	}
 	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "decision", d.String())
-	err := Switch(ctx, group, plan)
+	closed, err := Switch(ctx, group, plan)
+	l.closed = max(closed, l.closed*closedKeep/100)
 	if err != nil {
 		var fenced *FencedError
 		if errors.As(err, &fenced) {
@@ -233,6 +245,15 @@
 	return nil
 }
 
+// ahead is how many passes the gate has been closed for of late. While orders
+// get no answer, that is far more than usual.
+func (l *leader) ahead() uint64 {
+	if l.pass <= 0 {
+		return 0
+	}
+	return min(uint64(l.closed/l.pass), maxAhead)
+}
+
 // unstick looks for a hold that was left and ends it.
 func (l *leader) unstick(ctx context.Context, group *peers) error {
 	states, err := ensureAll(ctx, group, everyRank(group), Want{Kind: WantState}, armTimeout)
