Let requests wait briefly for endpoints that are coming back

Cause: after a loss of power the callers whose streams broke come back once, 0.1 s after the nodes and 1 s before the engines' groups, and were refused for good. A request now waits up to 0.15 of its time, 1.2 s at most, while no endpoint can serve; endpoints that turn requests away rest for a moment; a node reads the store's tables eagerly in its first 3 s.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -80,6 +80,13 @@
 // answer: what changes meanwhile is in force late by as much.
 const BackoffMost = time.Second
 
+const (
+	// eagerFor is how long after its start a follower pauses no more than
+	// eagerPause: after a loss of power everything changes at once.
+	eagerFor   = 3 * time.Second
+	eagerPause = 100 * time.Millisecond
+)
+
 // Follower keeps the copy of one table. Current, Adopt and Contact may be
 // called from any goroutine.
 type Follower struct {
@@ -146,7 +153,7 @@
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	backoff := f.timing.Backoff
+	backoff, began := f.timing.Backoff, time.Now()
 	for ctx.Err() == nil {
 		err := f.once(ctx)
 		pause := f.timing.Pause
@@ -155,6 +162,9 @@
 			backoff = min(2*backoff, BackoffMost)
 		} else {
 			backoff = f.timing.Backoff
+			if time.Since(began) < eagerFor {
+				pause = min(pause, eagerPause)
+			}
 		}
 		if ctx.Err() == nil {
 			f.note(err)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -115,6 +115,8 @@
 	Reason string
 	// After is when there will be room.
 	After time.Duration
+	// MayWait is true if endpoints may come back at any moment.
+	MayWait bool
 }
 
 // Error implements error.
@@ -197,7 +199,7 @@
 
 func (r *run) do(ctx context.Context) *problem.Problem {
 	for {
-		target, err := r.f.picker.Pick(r.req, r.tried)
+		target, err := r.pick(ctx)
 		if err != nil {
 			return r.final(r.refusal(err))
 		}
@@ -215,6 +217,37 @@
 	}
 }
 
+const (
+	// waitPart is the part of the caller's time that a request waits for
+	// endpoints that are coming back, and waitMost its bound: a caller gives a
+	// stream up that has not begun after two seconds.
+	waitPart = 0.15
+	waitMost = 1200 * time.Millisecond
+	// waitPoll is the time between two looks for an endpoint.
+	waitPoll = 40 * time.Millisecond
+)
+
+// pick asks for an endpoint. While none can serve, as when a group forms anew,
+// the request waits for a while: whoever is refused comes back once only.
+func (r *run) pick(ctx context.Context) (Target, error) {
+	given := time.Until(r.req.Deadline)
+	until := r.req.Arrived.Add(min(time.Duration(waitPart*float64(given)), waitMost))
+	for {
+		target, err := r.f.picker.Pick(r.req, r.tried)
+		refused, ok := err.(*RefusedError)
+		if err == nil || !ok || !refused.MayWait || time.Now().After(until) {
+			return target, err
+		}
+		timer := time.NewTimer(waitPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return target, err
+		}
+	}
+}
+
 // next returns nil if another attempt follows.
 func (r *run) next(ctx context.Context, target Target, result result) *problem.Problem {
 	final := result.problem(r.req)
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -30,7 +30,7 @@
 		estimate := g.loads.Estimate(e.ID, now)
 		known[i] = picker.DirectEndpoint{
 			Slots: e.Slots, Load: estimate.Load, Near: e.FailureDomain == g.settings.FailureDomain,
-			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved,
+			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved || estimate.Resting,
 		}
 		for _, id := range tried {
 			known[i].Tried = known[i].Tried || id == e.ID
@@ -40,7 +40,7 @@
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.RefusedError{
 			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
-			After:  retryAfter(choice.Full > 0),
+			After:  retryAfter(choice.Full > 0), MayWait: choice.Full == 0,
 		}
 	}
 	return forward.Target{
@@ -89,6 +89,8 @@
 	switch verdict {
 	case forward.Served:
 		p.g.loads.Succeeded(target.ID)
+	case forward.Rejected:
+		p.g.loads.Rejected(target.ID)
 	case forward.Moved:
 		p.g.loads.Moved(target.ID)
 		p.g.log.Warn("another endpoint is at the address", "endpoint", target.ID, "address", target.Address)
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -44,6 +44,8 @@
 	failures    int
 	illUntil    time.Time
 	movedUntil  time.Time
+	rejections  int
+	restUntil   time.Time
 }
 
 // Loads holds the load of all endpoints by id. It is safe for concurrent use.
@@ -116,6 +118,7 @@
 	defer l.mu.Unlock()
 	s := l.state(id)
 	s.failures, s.illUntil = 0, time.Time{}
+	s.rejections, s.restUntil = 0, time.Time{}
 }
 
 // Failed says that a request failed at an endpoint through the endpoint's
@@ -133,6 +136,23 @@
 	return true
 }
 
+const (
+	// restFor is how long an endpoint is left alone that turned a request away;
+	// it doubles with each further one up to restMost. A group takes about half
+	// a second to form.
+	restFor  = 100 * time.Millisecond
+	restMost = 800 * time.Millisecond
+)
+
+// Rejected says that an endpoint turned a request away.
+func (l *Loads) Rejected(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(id)
+	s.restUntil = time.Now().Add(min(restFor<<min(s.rejections, 8), restMost))
+	s.rejections++
+}
+
 // movedFor is how long an endpoint that is not at its address is left alone: its
 // entry is removed after three heartbeats of silence.
 const movedFor = 5 * time.Second
@@ -169,6 +189,8 @@
 	Ill bool
 	// Moved is true if another endpoint was found at the address.
 	Moved bool
+	// Resting is true if it turned requests away of late.
+	Resting bool
 }
 
 // Estimate returns what is thought of an endpoint.
@@ -179,7 +201,7 @@
 	if s == nil {
 		return Estimate{}
 	}
-	e := Estimate{Ill: now.Before(s.illUntil), Moved: now.Before(s.movedUntil)}
+	e := Estimate{Ill: now.Before(s.illUntil), Moved: now.Before(s.movedUntil), Resting: now.Before(s.restUntil)}
 	if now.Sub(s.reportedAt) >= reportLife {
 		// Without reports, the other nodes are taken to send as much.
 		e.Load = float64(s.inFlight * l.nodes)
