--- a/command/agent.go
+++ b/command/agent.go
@@ -6,9 +6,9 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/cyclamenpoint/cyclamenpoint/launch"
 	"github.com/cyclamenpoint/cyclamenpoint/node"
 	"github.com/cyclamenpoint/cyclamenpoint/settings"
-	"github.com/cyclamenpoint/cyclamenpoint/launch"
 )
 
 // agentOptions are the options of the agent's program.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -143,6 +143,14 @@
 // so it only has to part requests that failed together.
 const backoff = 5 * time.Millisecond
 
+const (
+	// rejectedBackoff is the wait after an endpoint turned a request away: a group
+	// takes about half a second to form. rejectedPart bounds it by the caller's
+	// time.
+	rejectedBackoff = 400 * time.Millisecond
+	rejectedPart    = 0.05
+)
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	codec   Codec
@@ -259,6 +267,10 @@
 		Attempt: max(r.sends, 1), Outcome: result.outcome, Repeat: r.req.Match.Route.Repeat,
 		Begun: r.begun && !r.req.Match.Route.Resumable, Remaining: time.Until(r.req.Deadline),
 	}, rand.New(sharedSource{}))
+	if result.verdict == Rejected {
+		// The other endpoints are likely to be in the same state for a moment.
+		decision.After = min(rejectedBackoff, time.Duration(rejectedPart*float64(time.Until(r.req.Deadline))))
+	}
 	if !result.sent && len(r.tried) < maxUnsent {
 		// An attempt that reached nobody is none.
 		decision.Retry, decision.After = true, 0
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -79,7 +79,8 @@
 	lead        *leader
 
 	mu sync.Mutex
-	// heard is the rank of the group's leader and heardAt when it spoke last.
+	// heard is the rank of the group's leader, noRank before one was heard, and
+	// heardAt when it spoke last.
 	heard   int
 	heardAt time.Time
 	loads   map[string]timedLoad
@@ -112,7 +113,7 @@
 	a := &Agent{
 		settings: s, engine: engine, direct: direct, keeper: NewKeeper(engine), log: log, decode: decode,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10}},
-		loads:  make(map[string]timedLoad), heardAt: time.Now(),
+		loads:  make(map[string]timedLoad), heard: noRank, heardAt: time.Now(),
 	}
 	a.lead = newLeader(a)
 	a.config = follow.New(s.ConfigTable, store, configTiming, log, a.setConfig)
@@ -263,6 +264,15 @@
 		d.Counts = a.countsSince(ctx)
 	}
 	leaderRank, leading := a.leader(state, now)
+	if leaderRank == noRank {
+		// Nobody gathers the group's loads yet.
+		for _, n := range a.registry.Nodes() {
+			if n.Kind == peernews.KindEntry {
+				a.news.Send(n.Address, peernews.Datagram{From: d.From, Loads: d.Loads})
+			}
+		}
+		return
+	}
 	if leading {
 		a.takeLoads(d.Loads)
 		if len(d.Counts) > 0 {
