--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -165,10 +165,12 @@
 	if held == 0 {
 		return nil
 	}
-	if len(reached) < ranks.Size() && allArmed(states, reached) {
+	complete := allArmed(states, reached)
+	if complete && len(reached) < ranks.Size() {
 		return errors.WithStack(&UnreachedError{Rank: l.Leader})
 	}
-	if !together(states, reached) {
+	if !complete {
+		// Also where no rank is armed: an order may still be on its way.
 		void := Want{Kind: WantVoid, Token: l.Version, Leader: noRank, Epoch: epoch, Version: l.Version, Shape: l.Shape}
 		if _, err := ensureAll(ctx, ranks, reached, void, recoverTimeout); err != nil {
 			return errors.WithMessage(err, "void")
@@ -206,14 +208,16 @@
 	return reached, err
 }
 
-// allArmed reports whether each of the ranks is armed or has switched.
+// allArmed reports whether all of the ranks are armed for one switch or have
+// made it.
 func allArmed(states []State, ranks []int) bool {
 	due := armed(states, ranks)
 	if due == nil {
 		return false
 	}
 	for _, rank := range ranks {
-		if states[rank].Armed == nil && states[rank].Map != due.Version {
+		s := &states[rank]
+		if s.Armed != nil && *s.Armed != *due || s.Armed == nil && s.Map != due.Version {
 			return false
 		}
 	}
@@ -230,21 +234,6 @@
 	return nil
 }
 
-// together reports whether the states allow the group to step on: no rank is
-// armed, or all are for the same switch, or have made it already.
-func together(states []State, ranks []int) bool {
-	due := armed(states, ranks)
-	if due == nil {
-		return true
-	}
-	for _, rank := range ranks {
-		if states[rank].Armed != nil && *states[rank].Armed != *due {
-			return false
-		}
-	}
-	return allArmed(states, ranks)
-}
-
 func newestStep(states []State) uint64 {
 	step := uint64(0)
 	for i := range states {
