--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,201 @@
+package follow
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+var errDown = errors.New("down")
+
+// fakeStore is a table whose changes are kept from a version on.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]Row
+	changes []Change
+	kept    uint64
+	down    bool
+	calls   int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{version: 1, rows: make(map[string]Row)} }
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	row := Row{Key: key, Value: []byte(value), Version: s.version}
+	s.rows[key] = row
+	s.changes = append(s.changes, Change{Row: row})
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	delete(s.rows, key)
+	s.changes = append(s.changes, Change{Row: Row{Key: key, Version: s.version}, Removed: true})
+}
+
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept, s.changes = s.version, nil
+}
+
+func (s *fakeStore) set(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) Read(context.Context, string) (Copy, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Copy{}, errDown
+	}
+	c := Copy{Rows: make(map[string]Row), AsOf: s.version}
+	for k, r := range s.rows {
+		c.Rows[k] = r
+	}
+	return c, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		switch {
+		case s.down:
+			s.mu.Unlock()
+			return nil, 0, errDown
+		case after < s.kept:
+			s.mu.Unlock()
+			return nil, 0, &LostHistoryError{Table: table}
+		}
+		var newer []Change
+		for _, c := range s.changes {
+			if c.Version > after {
+				newer = append(newer, c)
+			}
+		}
+		version := s.version
+		s.mu.Unlock()
+		if len(newer) > 0 || time.Now().After(end) || ctx.Err() != nil {
+			return newer, version, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+var testTiming = Timing{Wait: 20 * time.Second, Pause: 100 * time.Millisecond, Backoff: 300 * time.Millisecond}
+
+// followed runs a follower for the length of a test in virtual time.
+func followed(t *testing.T, test func(s *fakeStore, f *Follower, seen *[]Copy)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		var seen []Copy
+		var f *Follower
+		f = New("table", s, testTiming, slog.New(slog.DiscardHandler), func(c Copy) {
+			// Consumers ask the follower while they are told.
+			f.Contact()
+			f.Current()
+			seen = append(seen, c)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		test(s, f, &seen)
+		cancel()
+		<-done
+	})
+}
+
+func TestFollowsChanges(t *testing.T) {
+	followed(t, func(s *fakeStore, f *Follower, seen *[]Copy) {
+		s.put("a", "1")
+		time.Sleep(time.Second)
+		s.put("b", "2")
+		s.remove("a")
+		time.Sleep(time.Second)
+		c := f.Current()
+		assert.Equal(t, len(c.Rows), 1)
+		assert.Equal(t, string(c.Rows["b"].Value), "2")
+		calls := s.calls
+		time.Sleep(19 * time.Second)
+		assert.Assert(t, s.calls-calls <= 2, "%d calls while nothing changed", s.calls-calls)
+		assert.Equal(t, len(*seen), 2, "told of other content only")
+	})
+}
+
+func TestLostHistory(t *testing.T) {
+	followed(t, func(s *fakeStore, f *Follower, _ *[]Copy) {
+		s.put("a", "1")
+		time.Sleep(5 * time.Second)
+		s.set(true)
+		time.Sleep(time.Second)
+		s.put("b", "2")
+		s.remove("a")
+		s.forget()
+		s.set(false)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(f.Current().Rows), 1)
+		assert.Equal(t, string(f.Current().Rows["b"].Value), "2")
+	})
+}
+
+// TestBacksOff: a store that is down gets few calls, and its return is noticed
+// within BackoffMost.
+func TestBacksOff(t *testing.T) {
+	followed(t, func(s *fakeStore, f *Follower, _ *[]Copy) {
+		s.put("a", "1")
+		time.Sleep(5 * time.Second)
+		s.set(true)
+		time.Sleep(time.Second)
+		calls := s.calls
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, s.calls-calls <= 11, "%d calls in 10 s", s.calls-calls)
+		lostAt, _ := f.Contact()
+		assert.Assert(t, !lostAt.IsZero())
+		s.put("a", "2")
+		s.set(false)
+		time.Sleep(BackoffMost + 100*time.Millisecond)
+		assert.Equal(t, string(f.Current().Rows["a"].Value), "2")
+	})
+}
+
+// TestAdopt: a peer's copy is taken while the store is away, an older one never.
+func TestAdopt(t *testing.T) {
+	followed(t, func(s *fakeStore, f *Follower, _ *[]Copy) {
+		s.put("a", "1")
+		time.Sleep(5 * time.Second)
+		s.set(true)
+		time.Sleep(time.Second)
+		old := f.Current()
+		s.put("a", "2")
+		newer := Copy{Rows: map[string]Row{"a": s.rows["a"]}, AsOf: s.version, Changed: s.version}
+		assert.Assert(t, f.Adopt(newer))
+		assert.Assert(t, !f.Adopt(old))
+		assert.Equal(t, string(f.Current().Rows["a"].Value), "2")
+		s.set(false)
+		s.put("b", "3")
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, string(f.Current().Rows["a"].Value), "2")
+		assert.Equal(t, string(f.Current().Rows["b"].Value), "3")
+	})
+}
