--- a/follow/follow.go
+++ b/follow/follow.go
@@ -74,6 +74,8 @@
 	// Backoff is the time before a call that follows a failed one; it doubles up
 	// to BackoffMost with each further failure.
 	Backoff time.Duration
+	// Eager makes the pauses short in the first seconds.
+	Eager bool
 }
 
 // BackoffMost is the longest time between two calls to a store that does not
@@ -162,7 +164,7 @@
 			backoff = min(2*backoff, BackoffMost)
 		} else {
 			backoff = f.timing.Backoff
-			if time.Since(began) < eagerFor {
+			if f.timing.Eager && time.Since(began) < eagerFor {
 				pause = min(pause, eagerPause)
 			}
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 	configTiming = follow.Timing{Wait: 20 * time.Second, Pause: 50 * time.Millisecond, Backoff: 300 * time.Millisecond}
 	// endpointTiming gathers the changes of many endpoints into one call. It has
 	// to stay well below the time in which a leaving endpoint must be left alone.
-	endpointTiming = follow.Timing{Wait: 20 * time.Second, Pause: 500 * time.Millisecond, Backoff: 300 * time.Millisecond}
+	endpointTiming = follow.Timing{Wait: 20 * time.Second, Pause: 600 * time.Millisecond, Backoff: 300 * time.Millisecond, Eager: true}
 )
 
 // endpointTimes bounds the connections to endpoints. An endpoint answers a new
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -27,9 +27,16 @@
 	// comes first.
 	leaderTimeout = 700 * time.Millisecond
 	leaderStagger = 50 * time.Millisecond
-	// holdLimit is how long a hold may last before the agent beside the gate
-	// ends it: a good switch takes some ten ms.
-	holdLimit = 150 * time.Millisecond
+	// holdLimit is how long a group may stand before a hold, while its leader is
+	// silent, until the agent beside the gate ends it; holdLimitLed is the same
+	// while the leader is heard, which may be giving lost orders again.
+	holdLimit    = 150 * time.Millisecond
+	holdLimitLed = 700 * time.Millisecond
+	// leaderHeard is the silence from which a leader, heard every spreadPeriod,
+	// may have stopped.
+	leaderHeard = 2*spreadPeriod + 50*time.Millisecond
+	// holdLimitIdle is the same for a group that has not come to the hold.
+	holdLimitIdle = 3 * time.Second
 	// reportLimit is the age of a rank's report from which its agent may have
 	// stopped: no switch begins then.
 	reportLimit = 350 * time.Millisecond
@@ -88,10 +95,11 @@
 	recovering bool
 
 	// What follows belongs to the looking goroutine.
-	heldSince time.Time
-	lastCount Counts
-	countedAt time.Time
-	lost      bool
+	heldSince   time.Time
+	standsSince time.Time
+	lastCount   Counts
+	countedAt   time.Time
+	lost        bool
 }
 
 // timedLoad is a load report with its arrival.
@@ -201,9 +209,14 @@
 		return
 	}
 	if a.heldSince.IsZero() {
-		a.heldSince = now
+		a.heldSince, a.standsSince = now, time.Time{}
 	}
-	if now.Sub(a.heldSince) < holdLimit || !a.beginRecovery() {
+	if !state.stands() {
+		a.standsSince = time.Time{}
+	} else if a.standsSince.IsZero() {
+		a.standsSince = now
+	}
+	if !holdIsLeft(state, now, a.heldSince, a.standsSince, a.leaderSpoke()) || !a.beginRecovery() {
 		return
 	}
 	go func() {
@@ -220,6 +233,28 @@
 	}()
 }
 
+// leaderSpoke returns when the group's leader was heard last.
+func (a *Agent) leaderSpoke() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.heardAt
+}
+
+// stands reports whether the group has come to the hold and has work.
+func (s State) stands() bool { return s.Held != 0 && s.Step+1 >= s.Held && s.Running+s.Queued > 0 }
+
+// holdIsLeft decides whether a hold that began at held, and stops the group
+// since stands, was left by a leader that spoke last at spoke.
+func holdIsLeft(s State, now, held, stands, spoke time.Time) bool {
+	if !s.stands() || stands.IsZero() {
+		return now.Sub(held) >= holdLimitIdle
+	}
+	if now.Sub(spoke) < leaderHeard {
+		return now.Sub(stands) >= holdLimitLed
+	}
+	return now.Sub(stands) >= holdLimit
+}
+
 func (a *Agent) recover(ctx context.Context, group *peers, state State) error {
 	known := []uint64{a.keeper.Newest(), state.Map, state.Prepared}
 	return Recover(ctx, group, Left{Gate: state.Rank, Leader: a.keeper.leading(), Version: NextVersion(known...), Shape: a.shape(state)})
--- a/rankgroup/gate_test.go
+++ b/rankgroup/gate_test.go
@@ -17,6 +17,7 @@
 func play(g *simGroup, length time.Duration, leaders []int, happen func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
+	g.leaders = leaders
 	duties.Go(func() { g.run(ctx) })
 	for rank := range simShape.Ranks {
 		duties.Go(func() { g.watch(ctx, rank) })
--- a/rankgroup/sim_test.go
+++ b/rankgroup/sim_test.go
@@ -55,6 +55,9 @@
 	switches  map[uint64]bool
 	heldSince time.Time
 	heldMost  time.Duration
+	// leaders speak while their VM and process run.
+	leaders []int
+	spokeAt time.Time
 }
 
 // simEngine is one engine of a simulated group.
@@ -109,6 +112,11 @@
 func (g *simGroup) pass(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for _, rank := range g.leaders {
+		if !g.frozen[rank] && !g.killed[rank] {
+			g.spokeAt = now
+		}
+	}
 	next := g.step + 1
 	for _, e := range g.engines {
 		e.remember(now)
@@ -384,6 +392,13 @@
 	return &simRanks{g: g, from: from, silent: make(map[int]bool)}
 }
 
+// spoke is when the leader was heard last.
+func (g *simGroup) spoke() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spokeAt
+}
+
 // lead switches maps as the leader beside a rank until the context ends.
 func (g *simGroup) lead(ctx context.Context, rank int, period time.Duration) {
 	for ctx.Err() == nil {
@@ -415,7 +430,7 @@
 
 // watch ends holds that were left at one rank, as its agent does.
 func (g *simGroup) watch(ctx context.Context, rank int) {
-	var since time.Time
+	var since, stands time.Time
 	for ctx.Err() == nil {
 		time.Sleep(lookPeriod)
 		_ = g.wait(ctx, rank)
@@ -423,13 +438,18 @@
 		state := g.engines[rank].now()
 		g.mu.Unlock()
 		if state.Held == 0 || g.gone(rank) {
-			since = time.Time{}
+			since, stands = time.Time{}, time.Time{}
 			continue
 		}
 		if since.IsZero() {
 			since = time.Now()
 		}
-		if time.Since(since) < holdLimit {
+		if !state.stands() {
+			stands = time.Time{}
+		} else if stands.IsZero() {
+			stands = time.Now()
+		}
+		if !holdIsLeft(state, time.Now(), since, stands, g.spoke()) {
 			continue
 		}
 		k := g.keeper(rank)
