Count every 0.1 s and bound the loads of each rank in a change

Cause: right after a shift of demand the skew is 2.4, and it stays there for as long as the map lags. Counts came every 0.2 s, and the rank with the most loads of a change decided how long the others waited.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,10 @@
 	// LoadsEach bounds the loads of one rank in one layer and decision; zero sets
 	// no bound.
 	LoadsEach int
+	// LoadsBatch bounds the loads of one rank in one decision, over all layers;
+	// zero sets no bound. Ranks load side by side, so the one with the most loads
+	// decides when the map is in force.
+	LoadsBatch int
 }
 
 // Defaults of a Policy.
--- a/placement/search.go
+++ b/placement/search.go
@@ -223,14 +223,36 @@
 	slices.SortFunc(plans, func(a, b plan) int {
 		return cmp.Or(cmp.Compare(b.density(), a.density()), cmp.Compare(a.layer, b.layer))
 	})
+	each := make([]int, s.group.shape.Ranks)
 	for _, p := range plans {
-		if p.loads <= budget {
+		if p.loads <= budget && s.fits(each, p) {
 			budget -= p.loads
 			s.put(p.layer, p.use)
 		}
 	}
 }
 
+// fits reports whether a plan leaves every rank's loads within LoadsBatch, and
+// adds them to each if it does.
+func (s *search) fits(each []int, p plan) bool {
+	if s.policy.LoadsBatch == 0 {
+		return true
+	}
+	s.enter(p.layer)
+	s.layer.setUse(p.use)
+	loads := make([]int, len(each))
+	for rank := range each {
+		loads[rank] = s.layer.rankLoads(rank)
+		if each[rank]+loads[rank] > s.policy.LoadsBatch {
+			return false
+		}
+	}
+	for rank, n := range loads {
+		each[rank] += n
+	}
+	return true
+}
+
 // density is the gain for its cost.
 func (p plan) density() float64 { return p.gain / (p.cost + regainCost) }
 
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -21,7 +21,7 @@
 	lookPeriod = 100 * time.Millisecond
 	// countPeriod is the time between two reports of the experts' counts: a
 	// window of the load estimate.
-	countPeriod = 200 * time.Millisecond
+	countPeriod = 100 * time.Millisecond
 	// leaderTimeout is the silence after which a leader counts as gone, and
 	// leaderStagger what each further rank waits longer, so that one of them
 	// comes first.
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -319,6 +319,6 @@
 	return placement.Policy{
 		Objective: deployment.Objective{Skew: e.Share * min(max((busy-0.3)/0.4, 0), 1), Move: move}, ExpertBytes: e.ExpertBytes,
 		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
-		Reserved: e.Spare, LoadsEach: e.Spare,
+		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batchPart*float64(e.Layers*e.Spare)), 1),
 	}
 }
