Serve counters and histograms as text

Requests, attempts, refusals, first events, pauses, loads, lost and regained stores, copies from peers, map changes, gates and skew, by a small library, on port 9464 of each VM.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 )
 
 // Row is one row of a table.
@@ -237,9 +239,11 @@
 	switch {
 	case err != nil && f.lostAt.IsZero():
 		f.lostAt = time.Now()
+		metric.StoreLost.Inc()
 		f.log.Warn("store does not answer", "table", f.table, "error", err.Error(), "as_of", f.Current().AsOf)
 	case err == nil && !f.lostAt.IsZero():
 		f.backAt = time.Now()
+		metric.StoreBack.Inc()
 		f.log.Info("store answers", "table", f.table, "away", f.backAt.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
 		f.lostAt = time.Time{}
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/eventstream"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/upstream"
 )
 
@@ -93,6 +94,9 @@
 
 // stream passes on the events of a stream.
 func (r *run) stream(ctx context.Context, conn *upstream.Conn, resp *http.Response) result {
+	if r.begun {
+		metric.Resumed.Inc()
+	}
 	events := eventstream.NewReader(resp.Body)
 	for {
 		event, err := events.Next()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
@@ -139,6 +140,11 @@
 	Neutral
 )
 
+// String returns the verdict as logs and figures print it.
+func (v Verdict) String() string {
+	return [...]string{"served", "rejected", "moved", "failed", "neutral"}[v]
+}
+
 // backoff bounds the wait before a second send; the endpoint is another one,
 // so it only has to part requests that failed together.
 const backoff = 5 * time.Millisecond
@@ -214,6 +220,8 @@
 		r.endpoint, r.load = target.ID, target.Load
 		result := r.attempt(ctx, target)
 		r.f.picker.Learn(target, result.verdict)
+		metric.Attempts(r.req.Match.Service.Name, result.verdict.String()).Inc()
+		metric.EndpointLoad.Update(target.Load)
 		if result.done {
 			return nil
 		}
@@ -308,6 +316,11 @@
 	p := &problem.Problem{Kind: problem.NoCapacity, RequestID: r.req.ID, Detail: err.Error()}
 	if refused, ok := err.(*RefusedError); ok {
 		p.RetryAfter = refused.After
+		cause := "full"
+		if refused.MayWait {
+			cause = "none can serve"
+		}
+		metric.Refusals(r.req.Match.Service.Name, cause).Inc()
 	}
 	return p
 }
@@ -328,6 +341,20 @@
 	return p
 }
 
+// measure adds a request to the figures.
+func (r *run) measure(p *problem.Problem) {
+	kind, outcome := r.req.Match.Route.Kind(), "served"
+	if p != nil {
+		outcome = p.Kind.Name
+	}
+	metric.Requests(kind, outcome).Inc()
+	metric.Duration(kind).UpdateDuration(r.req.Arrived)
+	if !r.firstAt.IsZero() {
+		metric.FirstEvent.Update(r.firstAt.Sub(r.req.Arrived).Seconds())
+		metric.LongestGap.Update(r.longestGap.Seconds())
+	}
+}
+
 // logEnd writes the line that tells how a request ended.
 func (r *run) logEnd(ctx context.Context, p *problem.Problem) {
 	m := r.req.Match
@@ -341,6 +368,7 @@
 	if m.Route.Stream && !r.firstAt.IsZero() {
 		attrs = append(attrs, "first_event_ms", r.firstAt.Sub(r.req.Arrived).Milliseconds(), "events", r.events, "longest_gap_ms", r.longestGap.Milliseconds())
 	}
+	r.measure(p)
 	if p == nil {
 		r.f.log.Info("request served", attrs...)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/outstanding"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
@@ -135,6 +136,7 @@
 		Name: s.Node, Kind: peernews.KindEntry, Address: s.Peers, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
 	g.news = peernews.NewPeer(s.Peers, s.Seeds, g.registry, []*follow.Follower{g.config, g.listed, g.registry.Follower()}, log, g.learnLoads)
+	metric.Gauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	if err := g.listen(ctx); err != nil {
@@ -166,6 +168,7 @@
 		return
 	}
 	g.table.Store(route.NewTable(cfg))
+	metric.Config(cfg.Version)
 	g.log.Info("configuration in force", "config", cfg.Version, "routes", len(cfg.Routes), "organisations", len(cfg.Organisations), "as_of", c.AsOf)
 }
 
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -18,6 +18,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/eventlog"
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/rankgroup"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
@@ -52,10 +53,29 @@
 	}
 	log, closeLog := eventlog.New(out, slog.LevelInfo)
 	log = log.With("node", s.Node)
+	serveFigures(s.Address.String(), log)
 	log.Info("starting", "process", what, "pid", os.Getpid(), "failure_domain", s.FailureDomain, "address", s.Address.String(), "store", s.Store)
 	return s, log, closeLog, nil
 }
 
+// serveFigures serves the process's counters and histograms. Without them the
+// process works on.
+func serveFigures(ip string, log *slog.Logger) {
+	listener, err := net.Listen("tcp", metric.Address(ip))
+	if err != nil {
+		log.Warn("figures are not served", "error", err.Error())
+		return
+	}
+	server := &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: figuresTimeout}
+	go func() {
+		err := server.Serve(listener)
+		log.Warn("figures are no longer served", "error", err.Error())
+	}()
+}
+
+// figuresTimeout bounds the arrival of a question for the figures.
+const figuresTimeout = 2 * time.Second
+
 // peersAddress is where the system's processes reach one another on a VM.
 func peersAddress(s *platform.Settings, offset int) string {
 	return net.JoinHostPort(s.Address.String(), strconv.Itoa(s.FirstPort+offset))
--- a/peernews/peer.go
+++ b/peernews/peer.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 )
 
 // Load is what the agent beside an endpoint reports of it.
@@ -269,6 +270,7 @@
 	for table, c := range copies {
 		f := p.followers[table]
 		if f != nil && f.Adopt(c) {
+			metric.Adopted.Inc()
 			p.log.Info("copy of a table taken from a peer", "table", table, "peer", from, "as_of", c.AsOf, "cause", why)
 		}
 	}
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
@@ -229,6 +230,7 @@
 			a.log.Warn("hold that was left is still in place", "group", state.Group, "step", state.Held, "error", err.Error())
 			return
 		}
+		metric.Holds.Inc()
 		a.log.Info("hold that was left has ended", "group", state.Group, "epoch", state.Epoch, "step", state.Held)
 	}()
 }
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
 	"github.com/cyclamenpoint/cyclamenpoint/placement"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
@@ -211,6 +212,7 @@
 	if err != nil {
 		return err
 	}
+	metric.Skew.Update(decision.Before.Skew)
 	if !decision.Change {
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
@@ -232,6 +234,13 @@
 	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "decision", d.String())
 	closed, err := Switch(ctx, group, plan)
 	l.closed = max(closed, l.closed*closedKeep/100)
+	metric.MapTime.UpdateDuration(began)
+	metric.GateTime.Update(closed.Seconds())
+	if err != nil {
+		metric.MapsFailed.Inc()
+	} else {
+		metric.MapsChanged.Inc()
+	}
 	if err != nil {
 		var fenced *FencedError
 		if errors.As(err, &fenced) {
--- a/route/route.go
+++ b/route/route.go
@@ -50,6 +50,19 @@
 	Split []Share
 }
 
+// Kind names the route's kind in logs and figures.
+func (r *Route) Kind() string {
+	switch {
+	case r.Stream && r.Resumable:
+		return "resumable stream"
+	case r.Stream:
+		return "stream"
+	case r.Repeat == deployment.RepeatAlways:
+		return "repeatable"
+	}
+	return "once"
+}
+
 // Share is one service's part of a route's requests.
 type Share struct {
 	Service string
