--- a/follow/follow.go
+++ b/follow/follow.go
@@ -32,8 +32,7 @@
 // Copy is a table as of one moment.
 type Copy struct {
 	Rows map[string]Row `json:"rows"`
-	// AsOf is the store's version at that moment; zero means that nothing is
-	// known yet.
+	// AsOf is the store's version at that moment.
 	AsOf uint64 `json:"as_of"`
 	// Changed is the version of the newest change that is known; unlike AsOf it
 	// is the same for all copies with the same content.
@@ -138,6 +137,16 @@
 	return f.install(c)
 }
 
+// hasCopy reports whether there is a copy, which may be one of an empty store.
+func (f *Follower) hasCopy() bool {
+	select {
+	case <-f.started:
+		return true
+	default:
+		return false
+	}
+}
+
 // Started waits for the first copy, at most for the given time, and reports
 // whether there is one.
 func (f *Follower) Started(ctx context.Context, wait time.Duration) bool {
@@ -185,7 +194,7 @@
 // once makes one call.
 func (f *Follower) once(ctx context.Context) error {
 	cur := f.Current()
-	if cur.AsOf == 0 {
+	if !f.hasCopy() {
 		return f.read(ctx)
 	}
 	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf, f.timing.Wait)
@@ -219,14 +228,15 @@
 // content is another one. The caller holds installing.
 func (f *Follower) install(c Copy) bool {
 	now := f.Current()
-	if c.AsOf <= now.AsOf {
+	first := !f.hasCopy()
+	if c.AsOf <= now.AsOf && !first {
 		return false
 	}
 	f.current.Store(&c)
-	if now.AsOf == 0 {
+	if first {
 		close(f.started)
 	}
-	if now.AsOf == 0 || c.Changed != now.Changed {
+	if first || c.Changed != now.Changed {
 		f.changed(c)
 	}
 	return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,10 @@
 	// Peers is where the system's other processes reach it, by TCP and UDP.
 	Peers string
 	// Seeds are peers' addresses that are known from the start.
-	Seeds  []string
+	Seeds []string
+	// First is true when the whole system starts for the first time: nothing has
+	// to be caught up with.
+	First  bool
 	Tables Tables
 	// Drain is how long after the store's word an endpoint that leaves may still
 	// get new work; Return the time in which live endpoints are listed again
@@ -114,7 +117,7 @@
 	configTiming = follow.Timing{Wait: 20 * time.Second, Pause: 50 * time.Millisecond, Backoff: 300 * time.Millisecond}
 	// endpointTiming gathers the changes of many endpoints into one call. It has
 	// to stay well below the time in which a leaving endpoint must be left alone.
-	endpointTiming = follow.Timing{Wait: 20 * time.Second, Pause: 600 * time.Millisecond, Backoff: 300 * time.Millisecond, Eager: true}
+	endpointTiming = follow.Timing{Wait: 20 * time.Second, Pause: 600 * time.Millisecond, Backoff: 300 * time.Millisecond}
 )
 
 // endpointTimes bounds the connections to endpoints. An endpoint answers a new
@@ -131,7 +134,9 @@
 	g.set.Store(discovery.NewSet(nil))
 	g.forward = forward.New(protocol, &picking{g}, g.pool, g.budgets, log)
 	g.config = follow.New(s.Tables.Config, store, configTiming, log, g.setConfig)
-	g.listed = follow.New(s.Tables.Endpoints, store, endpointTiming, log, g.setEndpoints)
+	timing := endpointTiming
+	timing.Eager = !s.First
+	g.listed = follow.New(s.Tables.Endpoints, store, timing, log, g.setEndpoints)
 	g.registry = peernews.NewRegistry(s.Tables.Nodes, store, peernews.Node{
 		Name: s.Node, Kind: peernews.KindEntry, Address: s.Peers, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -32,6 +32,11 @@
 	return metrics.GetOrCreateCounter(prefix + `refusals_total{service="` + service + `",cause="` + cause + `"}`)
 }
 
+// StoreCalls counts the calls to the platform's store.
+func StoreCalls(call string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(prefix + `store_calls_total{call="` + call + `"}`)
+}
+
 // Duration is the time from a request's head to the end of its answer.
 func Duration(kind string) *metrics.Histogram {
 	return metrics.GetOrCreateHistogram(prefix + `request_seconds{kind="` + kind + `"}`)
