--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -36,9 +36,11 @@
 	// from it.
 	closedKeep = 80
 	maxAhead   = 12
-	// busyGain is the inverse of the utilisation from which each gain counts in
-	// full: half of the slots leave room for the bursts that fill them.
-	busyGain = 2
+	// idleBusy is the utilisation of the slots up to which a shorter step serves
+	// nobody better, and fullBusy that from which each gain counts in full: the
+	// rest is left to the bursts that fill them.
+	idleBusy = 0.3
+	fullBusy = 0.7
 	// batchPart is the part of that time that the copies of one change may take.
 	batchPart = 0.25
 )
@@ -315,6 +317,11 @@
 	return max(stay.Seconds()/countPeriod.Seconds(), 1)
 }
 
+// worth is the part of a gain in step time that counts at a utilisation.
+func worth(busy float64) float64 {
+	return min(max((busy-idleBusy)/(fullBusy-idleBusy), 0), 1)
+}
+
 // policy returns the placement policy at the group's own rates: what a copy
 // takes decides how far ahead a change has to pay, and what it costs. busy is
 // the utilisation of the group's slots, from 0 to 1: a shorter step serves
@@ -326,7 +333,7 @@
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
-		Objective: deployment.Objective{Skew: e.Share * min(max((busy-0.3)/0.4, 0), 1), Move: move}, ExpertBytes: e.ExpertBytes,
+		Objective: deployment.Objective{Skew: e.Share * worth(busy), Move: move}, ExpertBytes: e.ExpertBytes,
 		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
 		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batchPart*float64(e.Layers*e.Spare)), 1),
 	}
