--- a/command/node.go
+++ b/command/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1/cyclamenpointv1connect"
@@ -20,8 +21,8 @@
 
 // nodeOptions tell how to reach nodes.
 type nodeOptions struct {
-	Nodes       []string `long:"node" required:"yes" value-name:"IP:PORT" description:"a node's address for operators; may be given several times"`
-	SecretFile  string   `long:"secret-file" required:"yes" value-name:"FILE" description:"the file that holds the deployment's secret"`
+	Nodes       []string `long:"node" value-name:"IP:PORT" description:"a node's address for operators; may be given several times"`
+	SecretFile  string   `long:"secret-file" value-name:"FILE" description:"the file that holds the deployment's secret"`
 	Certificate string   `long:"tls-certificate" value-name:"FILE" description:"certificate for mutual TLS"`
 	Key         string   `long:"tls-key" value-name:"FILE" description:"key of the certificate"`
 	CA          string   `long:"tls-ca" value-name:"FILE" description:"certificate authority of the nodes"`
@@ -47,6 +48,9 @@
 
 // clients returns a client for each named node.
 func (o *nodeOptions) clients() ([]nodeClient, error) {
+	if len(o.Nodes) == 0 || o.SecretFile == "" {
+		return nil, &flags.Error{Type: flags.ErrRequired, Message: "--node and --secret-file are required"}
+	}
 	text, err := os.ReadFile(o.SecretFile)
 	if err != nil {
 		return nil, &settings.FileError{File: o.SecretFile, Cause: err}
--- a/command/operate.go
+++ b/command/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
+	"github.com/cyclamenpoint/cyclamenpoint/story"
 )
 
 // Terms of the printed tables.
@@ -127,11 +129,34 @@
 	streams *streams
 
 	nodeOptions
+	Logs []string `long:"log" value-name:"FILE" description:"a file of log lines, - for standard input; read instead of asking nodes, and may be given several times"`
 	Args struct {
 		RequestID string `positional-arg-name:"REQUEST-ID" required:"yes" description:"the answer's X-Request-Id"`
 	} `positional-args:"yes"`
 }
 
+// tell tells the request's story from log lines.
+func (c *explainCommand) tell() error {
+	logs := make([]io.Reader, 0, len(c.Logs))
+	for _, name := range c.Logs {
+		if name == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "open a log")
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	told, err := story.Read(c.Args.RequestID, logs...)
+	if err != nil {
+		return errors.Wrap(err, "read the logs")
+	}
+	return errors.Wrap(told.Write(c.streams.out), "tell the story")
+}
+
 // NoDecisionsError tells that no node remembers a request.
 type NoDecisionsError struct {
 	RequestID string
@@ -145,6 +170,9 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.tell()
+	}
 	clients, err := c.clients()
 	if err != nil {
 		return err
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -67,6 +67,8 @@
 	// that for which the gate was closed.
 	MapTime  = metrics.NewHistogram(prefix + "map_change_seconds")
 	GateTime = metrics.NewHistogram(prefix + "gate_closed_seconds")
+	// DecisionTime is the time that a decision for a new map took.
+	DecisionTime = metrics.NewHistogram(prefix + "map_decision_seconds")
 	// Skew is the estimated skew of the map in force at each decision.
 	Skew = metrics.NewHistogram(prefix + "skew")
 )
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -41,8 +41,9 @@
 	// rest is left to the bursts that fill them.
 	idleBusy = 0.3
 	fullBusy = 0.7
-	// batchPart is the part of that time that the copies of one change may take.
-	batchPart = 0.25
+	// batchTime bounds the copies of one change: about what the rest of a switch
+	// takes.
+	batchTime = 250 * time.Millisecond
 )
 
 // leader decides the group's map while this agent leads.
@@ -210,6 +211,7 @@
 	if err != nil {
 		return err
 	}
+	began := time.Now()
 	decision, err := policy(model.Experts, l.shape.Ranks, busy).Decide(l.input(inForce, model.Experts))
 	if err != nil {
 		return err
@@ -223,17 +225,18 @@
 		return nil
 	}
 	l.reason = decision.Reason
-	return l.change(ctx, group, state, decision)
+	metric.DecisionTime.UpdateDuration(began)
+	return l.change(ctx, group, state, decision, began, busy)
 }
 
 // change puts a decided map in force.
-func (l *leader) change(ctx context.Context, group *peers, state State, d placement.Decision) error {
+func (l *leader) change(ctx context.Context, group *peers, state State, d placement.Decision, decided time.Time, busy float64) error {
 	began := time.Now()
 	plan := Plan{
 		Epoch: state.Epoch, Map: d.Map, Gate: (state.Rank + 1) % l.shape.Ranks, Leader: state.Rank,
 		Ahead: l.ahead(), Version: NextVersion(state.Map, state.Prepared, l.switched, l.a.keeper.Newest()),
 	}
-	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "decision", d.String())
+	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "busy", busy, "decided_in", time.Since(decided).String(), "decision", d.String())
 	closed, err := Switch(ctx, group, plan)
 	l.closed = max(closed, l.closed*closedKeep/100)
 	metric.MapTime.UpdateDuration(began)
@@ -334,7 +337,7 @@
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
 		Objective: deployment.Objective{Skew: e.Share * worth(busy), Move: move}, ExpertBytes: e.ExpertBytes,
-		Horizon: horizon, BatchTime: time.Duration(batchPart * float64(fill)), StoreShare: 1, MaxAge: placement.DefaultMaxAge,
-		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batchPart*float64(e.Layers*e.Spare)), 1),
+		Horizon: horizon, BatchTime: batchTime, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
+		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batchTime/copyOne), 1),
 	}
 }
