--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -41,6 +41,9 @@
 	// rest is left to the bursts that fill them.
 	idleBusy = 0.3
 	fullBusy = 0.7
+	// leastGain is the part of the skew that a change has to take away: for the
+	// time of a switch the group cannot follow anything else.
+	leastGain = 0.04
 	// batchTime bounds the copies of one change: about what the rest of a switch
 	// takes.
 	batchTime = 250 * time.Millisecond
@@ -217,6 +220,10 @@
 		return err
 	}
 	metric.Skew.Update(decision.Before.Skew)
+	if decision.Change && decision.After.Skew > decision.Before.Skew*(1-leastGain) {
+		// The next shift would find the group in the middle of a switch.
+		decision.Change = false
+	}
 	if !decision.Change {
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
