--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -41,9 +41,11 @@
 	// reportLimit is the age of a rank's report from which its agent may have
 	// stopped: no switch begins then.
 	reportLimit = 350 * time.Millisecond
-	// wantPath takes wants, expertsPath tells the experts in force.
+	// wantPath takes wants, expertsPath tells the experts in force, endPath ends a
+	// hold that was given up.
 	wantPath    = "/rank/want"
 	expertsPath = "/rank/experts"
+	endPath     = "/rank/end"
 	// maxWant bounds a want, in bytes.
 	maxWant = 256 << 10
 	// wantTimeout bounds the work on a want if the asking leader is gone.
@@ -133,6 +135,7 @@
 	a.news.Hear(a.hear)
 	a.news.Handle(wantPath, a.serveWant)
 	a.news.Handle(expertsPath, a.serveExperts)
+	a.news.Handle(endPath, a.serveEnd)
 	return a
 }
 
@@ -222,17 +225,51 @@
 	}
 	go func() {
 		defer a.endRecovery()
-		group, err := a.group(state)
-		if err == nil {
-			err = a.recover(ctx, group, state)
-		}
-		if err != nil {
-			a.log.Warn("hold that was left is still in place", "group", state.Group, "step", state.Held, "error", err.Error())
+		// The failure is logged; the next look tries again.
+		_ = a.endHold(ctx, state)
+	}()
+}
+
+// endHold ends the hold at the engine beside this agent.
+func (a *Agent) endHold(ctx context.Context, state State) error {
+	group, err := a.group(state)
+	if err == nil {
+		err = a.recover(ctx, group, state)
+	}
+	if err != nil {
+		a.log.Warn("hold that was left is still in place", "group", state.Group, "step", state.Held, "error", err.Error())
+		return err
+	}
+	metric.Holds.Inc()
+	a.log.Info("hold that was left has ended", "group", state.Group, "epoch", state.Epoch, "step", state.Held)
+	return nil
+}
+
+// endAnswer is an agent's answer to a leader that gave a switch up.
+type endAnswer struct {
+	Failure string `json:"failure,omitempty"`
+}
+
+// serveEnd ends a hold that the leader has given up.
+func (a *Agent) serveEnd(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), endTimeout)
+	defer cancel()
+	for !a.beginRecovery() {
+		timer := time.NewTimer(pollPeriod)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			writeJSON(w, endAnswer{Failure: ctx.Err().Error()}, a.log)
 			return
 		}
-		metric.Holds.Inc()
-		a.log.Info("hold that was left has ended", "group", state.Group, "epoch", state.Epoch, "step", state.Held)
-	}()
+	}
+	defer a.endRecovery()
+	state, err := a.keeper.state(ctx)
+	if err == nil && state.Held != 0 {
+		err = a.endHold(ctx, state)
+	}
+	writeJSON(w, endAnswer{Failure: errorText(err)}, a.log)
 }
 
 // leaderSpoke returns when the group's leader was heard last.
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -23,6 +23,9 @@
 	Ensure(ctx context.Context, rank int, w Want) (State, error)
 	// Hold gives an order to a rank's engine itself.
 	Hold(ctx context.Context, rank int, o Order) error
+	// EndHold asks the agent beside a gate to end its hold, whose leader has given
+	// up, and waits for that.
+	EndHold(ctx context.Context, gate int) error
 }
 
 const (
@@ -39,8 +42,10 @@
 	stepsSpread = 3
 	// recoverTimeout bounds one try to end a hold that somebody left.
 	recoverTimeout = 2 * time.Second
+	// endTimeout bounds the end of a hold of a switch that failed.
+	endTimeout = 3 * time.Second
 	// absentTimeout bounds the search for a leader that has probably stopped.
-	absentTimeout = 2 * quickTimeout
+	absentTimeout = quickTimeout + answerTimeout
 )
 
 // versionSpread is the room for a random part in versions, so that two leaders
@@ -97,14 +102,26 @@
 	}
 	if err := arm(ctx, ranks, p, step); err != nil {
 		// The caller's context may have ended; the gate must not stay closed.
-		abort := context.WithoutCancel(ctx)
-		failed := Recover(abort, ranks, Left{Gate: p.Gate, Leader: noRank, Version: NextVersion(p.Version), Shape: p.Map.Shape()})
-		return time.Since(began), errors.WithMessagef(err, "arm, then recover (%v)", failed)
+		failed := giveUp(context.WithoutCancel(ctx), ranks, Left{Gate: p.Gate, Leader: noRank, Version: NextVersion(p.Version), Shape: p.Map.Shape()})
+		return time.Since(began), errors.WithMessagef(err, "arm, then end the hold (%v)", failed)
 	}
 	_, err = ensure(ctx, ranks, p.Gate, p.want(WantReleased, step), armTimeout)
 	return time.Since(began), errors.WithMessage(err, "release")
 }
 
+// giveUp ends the hold of a switch that failed. The agent beside the gate does
+// it, so that there are not two who do; the leader only where that agent has
+// gone.
+func giveUp(ctx context.Context, ranks Ranks, l Left) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	err := ranks.EndHold(ctx, l.Gate)
+	if err == nil || ctx.Err() != nil || errors.As(err, new(*WantError)) {
+		return err
+	}
+	return Recover(ctx, ranks, l)
+}
+
 // hold closes the gate. The leader gives the order to the engine itself, so
 // that the agent beside the gate can end the hold if the leader's VM stops.
 func hold(ctx context.Context, ranks Ranks, p Plan, step uint64) error {
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -41,6 +41,9 @@
 	// rest is left to the bursts that fill them.
 	idleBusy = 0.3
 	fullBusy = 0.7
+	// horizonBatches bounds the horizon from below, in batchTime: where a copy
+	// takes next to nothing, a change still has to outlast its own making.
+	horizonBatches = 8
 	// leastGain is the part of the skew that a change has to take away: for the
 	// time of a switch the group cannot follow anything else.
 	leastGain = 0.04
@@ -286,7 +289,7 @@
 			continue
 		}
 		version := NextVersion(l.a.keeper.Newest(), states[rank].Map, states[rank].Prepared)
-		return Recover(ctx, group, Left{Gate: rank, Leader: noRank, Version: version, Shape: l.shape})
+		return giveUp(ctx, group, Left{Gate: rank, Leader: noRank, Version: version, Shape: l.shape})
 	}
 	return nil
 }
@@ -339,7 +342,7 @@
 func policy(e *route.Experts, ranks int, busy float64) placement.Policy {
 	fill := fillTime(e)
 	copyOne := fill / time.Duration(max(e.Layers*e.Spare, 1))
-	horizon := horizonCopies * fill
+	horizon := max(horizonCopies*fill, horizonBatches*batchTime)
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
--- a/rankgroup/peers.go
+++ b/rankgroup/peers.go
@@ -19,7 +19,7 @@
 const (
 	// quickTimeout bounds an agent's answer to a want that takes no work; one
 	// that is slower has stopped or is cut off.
-	quickTimeout = 150 * time.Millisecond
+	quickTimeout = 300 * time.Millisecond
 	// reportLag is how old an engine's report on itself may be when it is asked
 	// from another VM, by the platform's description of its engines, with room.
 	reportLag = 350 * time.Millisecond
@@ -86,6 +86,18 @@
 	return p.direct(p.endpoints[rank]).Order(ctx, o)
 }
 
+// EndHold implements Ranks.
+func (p *peers) EndHold(ctx context.Context, gate int) error {
+	var answer endAnswer
+	if err := p.call(ctx, gate, endPath, nil, &answer); err != nil {
+		return err
+	}
+	if answer.Failure != "" {
+		return &WantError{Detail: answer.Failure}
+	}
+	return nil
+}
+
 // ask sends a want to the agent of a rank.
 func (p *peers) ask(ctx context.Context, rank int, w Want) (State, error) {
 	if w.quick() {
--- a/rankgroup/sim_test.go
+++ b/rankgroup/sim_test.go
@@ -309,6 +309,21 @@
 	return r.g.engines[rank].order(ctx, o)
 }
 
+func (r *simRanks) EndHold(ctx context.Context, gate int) error {
+	if err := r.g.wait(ctx, r.from); err != nil {
+		return err
+	}
+	if r.g.gone(gate) {
+		return errGone
+	}
+	g := r.g
+	g.mu.Lock()
+	state := g.engines[gate].now()
+	g.mu.Unlock()
+	k := g.keeper(gate)
+	return Recover(ctx, g.ranks(gate), Left{Gate: gate, Leader: k.leading(), Version: NextVersion(k.Newest(), state.Map, state.Prepared), Shape: simShape})
+}
+
 // wait stands still while the VM of a rank is frozen.
 func (g *simGroup) wait(ctx context.Context, rank int) error {
 	for {
