Take a removal soon after a start for what it is

An outage now needs a former contact and a second without an answer, and the list is looked at again when the time to come back is over. TestRemovedAfterStart did not end before; it does now.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -106,9 +106,11 @@
 	installing sync.Mutex
 
 	mu sync.Mutex
-	// lostAt is when the store stopped answering, zero while it answers;
-	// backAt is when it last came back.
+	// lostAt is when the store stopped answering, zero while it answers; backAt is
+	// when it last came back after it had answered before.
 	lostAt, backAt time.Time
+	// met is true once the store has answered.
+	met bool
 }
 
 // New returns a follower; changed is called with each newer copy, one call at a
@@ -122,8 +124,12 @@
 // Current returns the newest copy.
 func (f *Follower) Current() Copy { return *f.current.Load() }
 
+// OutageLeast is the shortest time without an answer that counts as an outage:
+// no entry of a live process lapses in less.
+const OutageLeast = time.Second
+
 // Contact tells since when the store has not answered, zero while it does, and
-// when it last came back.
+// when it last came back from an outage, zero if it had none.
 func (f *Follower) Contact() (lostAt, backAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -161,6 +167,13 @@
 	return false
 }
 
+// Again tells the consumer of the newest copy once more.
+func (f *Follower) Again() {
+	f.installing.Lock()
+	defer f.installing.Unlock()
+	f.changed(f.Current())
+}
+
 // Table returns the name of the table.
 func (f *Follower) Table() string { return f.table }
 
@@ -252,9 +265,13 @@
 		metric.StoreLost.Inc()
 		f.log.Warn("store does not answer", "table", f.table, "error", err.Error(), "as_of", f.Current().AsOf)
 	case err == nil && !f.lostAt.IsZero():
-		f.backAt = time.Now()
+		now := time.Now()
+		if f.met && now.Sub(f.lostAt) >= OutageLeast {
+			f.backAt = now
+		}
+		f.met = true
 		metric.StoreBack.Inc()
-		f.log.Info("store answers", "table", f.table, "away", f.backAt.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
+		f.log.Info("store answers", "table", f.table, "away", now.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
 		f.lostAt = time.Time{}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,10 +70,9 @@
 	// to be caught up with.
 	First  bool
 	Tables Tables
-	// Drain is how long after the store's word an endpoint that leaves may still
-	// get new work; Return the time in which live endpoints are listed again
-	// after an outage of the store.
-	Drain, Return time.Duration
+	// Return is the time in which live endpoints are listed again after an outage
+	// of the store.
+	Return time.Duration
 	// Grace is the time between the signal to stop and the kill.
 	Grace  time.Duration
 	Budget retry.WindowConfig
@@ -101,7 +100,6 @@
 	listed   *follow.Follower
 	registry *peernews.Registry
 	news     *peernews.Peer
-	gone     *departed
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -129,7 +127,7 @@
 func Start(s Settings, protocol Protocol, store Store, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, protocol: protocol, log: log,
-		loads: outstanding.New(), budgets: forward.NewBudgets(s.Budget), pool: upstream.NewPool(endpointTimes), gone: newDeparted(),
+		loads: outstanding.New(), budgets: forward.NewBudgets(s.Budget), pool: upstream.NewPool(endpointTimes),
 	}
 	g.set.Store(discovery.NewSet(nil))
 	g.forward = forward.New(protocol, &picking{g}, g.pool, g.budgets, log)
@@ -184,10 +182,17 @@
 		g.log.Warn("entry of the list names no endpoint to use", "error", err.Error(), "as_of", c.AsOf)
 	}
 	_, backAt := g.listed.Contact()
-	list = g.gone.keep(list, g.set.Load(), time.Since(backAt) < g.settings.Return, time.Now())
+	if left := time.Until(backAt.Add(g.settings.Return)); left > 0 {
+		list = withDeparted(list, g.set.Load())
+		// What has not come back by then is gone.
+		time.AfterFunc(left, g.relist)
+	}
 	g.install(list, c.AsOf)
 }
 
+// relist takes the newest list of endpoints again.
+func (g *Gateway) relist() { g.listed.Again() }
+
 // install puts a list of endpoints in force.
 func (g *Gateway) install(list []discovery.Endpoint, asOf uint64) {
 	old, set := g.set.Load(), discovery.NewSet(list)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 	g, err := gateway.Start(gateway.Settings{
 		Node: "n1", FailureDomain: "d1", Callers: s.address, Readiness: freeAddress(s.t), Peers: s.peers, Seeds: seeds,
 		Tables: gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
-		Drain:  2 * time.Second, Return: 2 * time.Second, Grace: s.grace,
+		Return: 2 * time.Second, Grace: s.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
 	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
 	assert.NilError(s.t, err)
@@ -372,6 +372,42 @@
 	assert.Equal(t, len(e1.Runs()), ran)
 }
 
+// TestRemovedAfterStart: an endpoint whose entry goes soon after the node's
+// start gets no more work; the start is no outage of the store.
+func TestRemovedAfterStart(t *testing.T) {
+	e1, e2 := endpoint.New("e1"), endpoint.New("e2")
+	s := newSite(t, e1, e2)
+	s.store.Remove("servers", "e1")
+	for ran := -1; ran != len(e1.Runs()); {
+		ran = len(e1.Runs())
+		for range 40 {
+			assert.Equal(t, s.call("GET", "/safe/1", "").status, 200)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// TestOutage: endpoints whose entries lapse in an outage of the store are used
+// on, and dropped if they do not come back to the list soon.
+func TestOutage(t *testing.T) {
+	e1, e2 := endpoint.New("e1"), endpoint.New("e2")
+	s := newSite(t, e1, e2)
+	s.store.SetMode(func(string) rowstore.Mode { return rowstore.Busy })
+	s.store.Remove("servers", "e1")
+	s.store.Remove("servers", "e2")
+	time.Sleep(1500 * time.Millisecond)
+	s.store.SetMode(func(string) rowstore.Mode { return rowstore.Serves })
+	s.list("e2", strings.TrimPrefix(s.servers["e2"].URL, "http://"), "ready")
+	for ran := -1; ran != len(e1.Runs()); {
+		ran = len(e1.Runs())
+		for range 40 {
+			assert.Equal(t, s.call("GET", "/safe/1", "").status, 200)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	assert.Assert(t, len(e2.Runs()) > 0)
+}
+
 // TestPeerBringsNews: a node that the store does not serve learns configuration
 // and endpoints from a peer, and says 503 rather than 404 while it knows too
 // little.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -220,7 +220,9 @@
 	began := time.Now()
 	g.draining.Store(true)
 	g.log.Info("stopping", "in_flight", g.inFlight.Load())
-	time.Sleep(min(rotationTime, g.settings.Grace/2))
+	rotation := time.NewTimer(min(rotationTime, g.settings.Grace/2))
+	defer rotation.Stop()
+	<-rotation.C
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Grace-stopMargin))
 	defer cancel()
 	for i := len(g.servers) - 1; i >= 0; i-- {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -125,7 +125,7 @@
 		Peers: peersAddress(s, gatewayPort), Seeds: seeds(s),
 		Tables: gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		First:  s.First,
-		Drain:  s.Bounds.Drain, Return: s.Bounds.Return, Grace: s.Bounds.Grace,
+		Return: s.Bounds.Return, Grace: s.Bounds.Grace,
 		Budget: retry.WindowConfig{Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve, Period: s.Bounds.RetryWindow},
 	}
 }
