Do not call an endpoint full by one node's own requests

The estimate is the node's own requests now; endpoints turn away by themselves what they cannot take. The random source that three packages each had is one now (entropy).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/decision"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/entropy"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
@@ -123,17 +124,10 @@
 func New(router Router, agents Agents, policy retry.Policy, budget *retry.Budget, suspects *quarantine.List, decisions *decision.Log) *Dispatcher {
 	return &Dispatcher{
 		router: router, agents: agents, policy: policy, budget: budget,
-		rng: rand.New(sharedSource{}), suspects: suspects, decisions: decisions,
+		rng: entropy.New(), suspects: suspects, decisions: decisions,
 	}
 }
 
-// sharedSource draws from the runtime's random source, which many goroutines
-// may use.
-type sharedSource struct{}
-
-// Uint64 implements rand.Source.
-func (sharedSource) Uint64() uint64 { return rand.Uint64() }
-
 // Do runs the request until its answer is whole in sink, and then returns nil.
 // A problem after sink.Head was called leaves the answer incomplete; the
 // caller must be told so in the stream. A problem says "not run" or "refused"
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,12 +8,12 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
+	"github.com/cyclamenpoint/cyclamenpoint/entropy"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
@@ -274,7 +274,7 @@
 	decision := policy.Decide(retry.Failure{
 		Attempt: max(r.sends, 1), Outcome: result.outcome, Repeat: r.req.Match.Route.Repeat,
 		Begun: r.begun && !r.req.Match.Route.Resumable, Remaining: time.Until(r.req.Deadline),
-	}, rand.New(sharedSource{}))
+	}, entropy.New())
 	if result.verdict == Rejected {
 		// The other endpoints are likely to be in the same state for a moment.
 		decision.After = min(rejectedBackoff, time.Duration(rejectedPart*float64(time.Until(r.req.Deadline))))
@@ -304,13 +304,6 @@
 // one.
 const maxUnsent = 3
 
-// sharedSource draws from the runtime's random source, which many goroutines
-// may use.
-type sharedSource struct{}
-
-// Uint64 implements rand.Source.
-func (sharedSource) Uint64() uint64 { return rand.Uint64() }
-
 // refusal says that no endpoint can be offered the request.
 func (r *run) refusal(err error) *problem.Problem {
 	p := &problem.Problem{Kind: problem.NoCapacity, RequestID: r.req.ID, Detail: err.Error()}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cyclamenpoint/cyclamenpoint/entropy"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 )
@@ -12,13 +13,6 @@
 // picking is the gateway's forward.Picker.
 type picking struct{ g *Gateway }
 
-// sharedSource draws from the runtime's random source, which many goroutines
-// may use.
-type sharedSource struct{}
-
-// Uint64 implements rand.Source.
-func (sharedSource) Uint64() uint64 { return rand.Uint64() }
-
 // Pick implements forward.Picker.
 func (p *picking) Pick(req *forward.Request, tried []string) (forward.Target, error) {
 	g, now := p.g, time.Now()
@@ -36,7 +30,7 @@
 			known[i].Tried = known[i].Tried || id == e.ID
 		}
 	}
-	choice := picker.DefaultDirect.Choose(known, g.loads.Arrived(service.Name, now), rand.New(sharedSource{}))
+	choice := picker.DefaultDirect.Choose(known, g.loads.Arrived(service.Name, now), entropy.New())
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.RefusedError{
 			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -203,8 +203,10 @@
 	}
 	e := Estimate{Ill: now.Before(s.illUntil), Moved: now.Before(s.movedUntil), Resting: now.Before(s.restUntil)}
 	if now.Sub(s.reportedAt) >= reportLife {
-		// Without reports, the other nodes are taken to send as much.
-		e.Load = float64(s.inFlight * l.nodes)
+		// What the other nodes send is not known. A guess from this node's own few
+		// requests would call free endpoints full; they turn away what they cannot
+		// take.
+		e.Load = float64(s.inFlight)
 		return e
 	}
 	e.Reported, e.Group = true, s.report.Group
