--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -23,7 +23,7 @@
 		e := &listed[i]
 		estimate := g.loads.Estimate(e.ID, now)
 		known[i] = picker.DirectEndpoint{
-			Slots: e.Slots, Load: estimate.Load, Near: e.FailureDomain == g.settings.FailureDomain,
+			Slots: e.Slots, Load: estimate.Load, Reported: estimate.Reported, Near: e.FailureDomain == g.settings.FailureDomain,
 			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved || estimate.Resting,
 		}
 		for _, id := range tried {
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -24,8 +24,9 @@
 
 const (
 	// reportLife is the age at which a report says nothing of the load any more;
-	// reports come a few times a second.
-	reportLife = time.Second
+	// reports come a few times a second, and a group takes up to a second to have
+	// another leader that sends them.
+	reportLife = 1200 * time.Millisecond
 	// doubtAfter is how many failures in a row make an endpoint ill.
 	doubtAfter = 2
 	// illFor is how long an endpoint stays ill after its newest failure in a
--- a/picker/direct.go
+++ b/picker/direct.go
@@ -28,6 +28,8 @@
 	Slots int
 	// Load estimates the requests that run and wait there.
 	Load float64
+	// Reported is true if a fresh report stands behind Load.
+	Reported bool
 	// Near is true in the chooser's own failure domain.
 	Near bool
 	// Ill is true if its work fails or is slow; it is taken only if no other
@@ -52,7 +54,12 @@
 
 // Choose picks an endpoint for one attempt. unseen is how many requests of all
 // nodes the loads do not show yet.
+//
+// Where most endpoints report, one that does not has probably stopped, and its
+// low load is what the chooser does not know: it counts as ill. Where few do,
+// their reporters have stopped, and it counts as loaded as those that report.
 func (d Direct) Choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand) Choice {
+	judgeSilence(endpoints)
 	choice := d.choose(endpoints, unseen, rng, false)
 	if choice.Index >= 0 || choice.Full > 0 {
 		return choice
@@ -62,6 +69,30 @@
 	return choice
 }
 
+// judgeSilence sets Ill or Load of the endpoints that do not report.
+func judgeSilence(endpoints []DirectEndpoint) {
+	reported, load := 0, 0.0
+	for i := range endpoints {
+		if endpoints[i].Reported {
+			reported++
+			load += endpoints[i].Load
+		}
+	}
+	if reported == 0 || reported == len(endpoints) {
+		return
+	}
+	for i := range endpoints {
+		e := &endpoints[i]
+		switch {
+		case e.Reported:
+		case 2*reported > len(endpoints):
+			e.Ill = true
+		default:
+			e.Load = max(e.Load, load/float64(reported))
+		}
+	}
+}
+
 // choose picks among the sound endpoints, or among the ill ones too.
 func (d Direct) choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand, ill bool) Choice {
 	choice := Choice{Index: -1}
--- a/picker/direct_test.go
+++ b/picker/direct_test.go
@@ -109,6 +109,35 @@
 	assert.Assert(t, ours.overflow < min(blind.overflow, least.overflow), "%d, random %d, least loaded %d found no free slot", ours.overflow, blind.overflow, least.overflow)
 }
 
+// TestSilence: the load of a day on which one of 16 endpoints stops, and its
+// reports with it: nobody is sent there. When most reporters stop, as after a
+// kill of many processes, all endpoints are used on.
+func TestSilence(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	fleet := func(reporting int) []DirectEndpoint {
+		known := make([]DirectEndpoint, 16)
+		for i := range known {
+			known[i] = DirectEndpoint{Slots: 12}
+			if i < reporting {
+				known[i].Load, known[i].Reported = 6, true
+			}
+		}
+		return known
+	}
+	chosen := func(reporting int) map[int]int {
+		count := make(map[int]int)
+		for range 1600 {
+			count[DefaultDirect.Choose(fleet(reporting), 20, rng).Index]++
+		}
+		return count
+	}
+	assert.Equal(t, chosen(15)[15], 0)
+	few := chosen(4)
+	for i := range 16 {
+		assert.Assert(t, few[i] > 50 && few[i] < 200, "endpoint %d got %d of 1600", i, few[i])
+	}
+}
+
 func TestChoose(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	full := DirectEndpoint{Slots: 2, Load: 4}
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -441,7 +441,7 @@
 	defer a.mu.Unlock()
 	fresh := make([]peernews.Load, 0, len(a.loads))
 	for endpoint, l := range a.loads {
-		if now.Sub(l.at) > leaderTimeout {
+		if now.Sub(l.at) > reportLimit {
 			delete(a.loads, endpoint)
 			continue
 		}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -35,6 +35,10 @@
 	// next switch still allows for, and maxAhead bounds the passes that follow
 	// from it.
 	closedKeep = 80
+	// closedRest is how many times as long as gates of late were closed the leader
+	// leaves the map alone: so gates are closed for a fifth of the time at most,
+	// whatever becomes of orders.
+	closedRest = 4
 	maxAhead   = 12
 	// idleBusy is the utilisation of the slots up to which a shorter step serves
 	// nobody better, and fullBusy that from which each gain counts in full: the
@@ -76,7 +80,9 @@
 	// pass is the time that a pass took of late, closed how long a gate was
 	// closed, fading with each switch.
 	pass, closed time.Duration
-	reason       placement.Reason
+	// triedAt is when the newest switch ended.
+	triedAt time.Time
+	reason  placement.Reason
 }
 
 func newLeader(a *Agent) *leader {
@@ -205,6 +211,9 @@
 		l.stepAt = now
 		return l.unstick(ctx, group)
 	}
+	if now.Sub(l.triedAt) < closedRest*l.closed {
+		return nil
+	}
 	if !state.Open || state.Armed != nil || (state.Map != l.switched && now.Sub(l.switchedAt) < settleTimeout) {
 		return nil
 	}
@@ -248,7 +257,7 @@
 	}
 	l.a.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.Map, "busy", busy, "decided_in", time.Since(decided).String(), "decision", d.String())
 	closed, err := Switch(ctx, group, plan)
-	l.closed = max(closed, l.closed*closedKeep/100)
+	l.closed, l.triedAt = max(closed, l.closed*closedKeep/100), time.Now()
 	metric.MapTime.UpdateDuration(began)
 	metric.GateTime.Update(closed.Seconds())
 	if err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -230,6 +230,11 @@
 // Discard closes the connection.
 func (c *Conn) Discard() {
 	c.bound()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// A reset also ends what is still on its way to the endpoint: a request that
+		// was given up must not reach it later. On failure the close is enough.
+		_ = tcp.SetLinger(0)
+	}
 	// What the endpoint still had to say is of no use.
 	_ = c.Close()
 	c.pool.release(c.address)
