Report the group's load while a switch is under way

Cause, found reading the diff: the leader's loop reported loads and told its group that it leads, but stood still for the 0.3 to 0.6 s of a switch, so gateways chose by older loads and a slow switch made another agent lead. Reporting is a duty of its own now.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -142,7 +142,7 @@
 // Run works until the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	for _, duty := range []func(context.Context){a.config.Run, a.registry.Run, a.news.Run, a.look, a.lead.run} {
+	for _, duty := range []func(context.Context){a.config.Run, a.registry.Run, a.news.Run, a.look, a.lead.run, a.lead.runSpread} {
 		duties.Go(func() { duty(ctx) })
 	}
 	duties.Wait()
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -68,7 +68,6 @@
 	estimator *placement.Tracker
 	shape     expertmap.Shape
 	windowAt  time.Time
-	spreadAt  time.Time
 	maps      map[uint64]expertmap.Map
 	epoch     uint64
 	// switched is the version of the newest switch and switchedAt its time.
@@ -123,6 +122,27 @@
 	}
 }
 
+// runSpread reports the group's load until the context ends. It is a duty of its
+// own, as a switch may take long.
+func (l *leader) runSpread(ctx context.Context) {
+	ticker := time.NewTicker(spreadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			state := l.a.state.Load()
+			if state == nil || state.Group == "" {
+				continue
+			}
+			if _, leading := l.a.leader(*state, now); leading {
+				l.spread(*state, now)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // tick does what is due if this agent leads.
 func (l *leader) tick(ctx context.Context, now time.Time) {
 	state := l.a.state.Load()
@@ -133,10 +153,6 @@
 		l.estimator = nil
 		return
 	}
-	if now.Sub(l.spreadAt) >= spreadPeriod {
-		l.spreadAt = now
-		l.spread(*state, now)
-	}
 	if now.Sub(l.windowAt) < countPeriod {
 		return
 	}
