--- a/forward/answer.go
+++ b/forward/answer.go
@@ -100,6 +100,7 @@
 	events := eventstream.NewReader(resp.Body)
 	for {
 		event, err := events.Next()
+		r.progressed()
 		if err == io.EOF && r.events > 0 {
 			give(conn, resp)
 			return r.end()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -61,6 +61,8 @@
 	}
 	r.sends++
 	conn.BreakWith(ctx)
+	r.progressed()
+	defer r.watchSilence(target, cancel)()
 	resp, err := conn.Exchange(ctx, r.message(target), r.belongs)
 	if err != nil {
 		conn.Discard()
@@ -77,6 +79,49 @@
 	return res
 }
 
+const (
+	// silencePoll is the time between two looks whether an endpoint has stopped.
+	silencePoll = 200 * time.Millisecond
+	// standsFor is how long an attempt has to stand for that: events come every
+	// 0.1 s or so.
+	standsFor = 500 * time.Millisecond
+)
+
+// progressed notes that the attempt began or brought an event.
+func (r *run) progressed() { r.progress.Store(int64(time.Since(r.req.Arrived))) }
+
+// stands reports whether the attempt has brought nothing for a while.
+func (r *run) stands() bool {
+	return time.Since(r.req.Arrived)-time.Duration(r.progress.Load()) >= standsFor
+}
+
+// watchSilence ends an attempt that another endpoint may repeat once it stands and
+// its own endpoint has probably stopped: callers leave a stream that stands for two seconds. The
+// returned function ends the watch.
+func (r *run) watchSilence(target Target, give func()) (stop func()) {
+	if r.req.Match.Route.Repeat != deployment.RepeatAlways {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(silencePoll)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				if r.stands() && r.f.picker.Silent(target) {
+					r.f.log.Warn("endpoint has stopped, the attempt is given up", "request", r.req.ID, "endpoint", target.ID)
+					give()
+					return
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 // needsFresh tells whether the request must not go on a connection that the
 // endpoint may have closed meanwhile: it could not be sent again.
 func (r *run) needsFresh() bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
@@ -98,6 +99,8 @@
 	End(endpoint string)
 	// Learn takes what an attempt showed of its endpoint.
 	Learn(target Target, verdict Verdict)
+	// Silent reports whether an endpoint has probably stopped.
+	Silent(target Target) bool
 }
 
 // Target is the endpoint that an attempt goes to.
@@ -202,6 +205,9 @@
 	lastAt    time.Time
 	// longestGap is the longest time between two events.
 	longestGap time.Duration
+	// progress is when the attempt last brought something, since the request's
+	// arrival.
+	progress atomic.Int64
 	// kept is an endpoint's failure that the caller gets if no other attempt
 	// does better.
 	kept *keptAnswer
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/entropy"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
@@ -18,17 +20,9 @@
 	g, now := p.g, time.Now()
 	service := req.Match.Service
 	listed := g.set.Load().Service(service.Name)
-	known := make([]picker.DirectEndpoint, len(listed))
+	known := p.known(listed, now)
 	for i := range listed {
-		e := &listed[i]
-		estimate := g.loads.Estimate(e.ID, now)
-		known[i] = picker.DirectEndpoint{
-			Slots: e.Slots, Load: estimate.Load, Reported: estimate.Reported, Near: e.FailureDomain == g.settings.FailureDomain,
-			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved || estimate.Resting,
-		}
-		for _, id := range tried {
-			known[i].Tried = known[i].Tried || id == e.ID
-		}
+		known[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
 	choice := picker.DefaultDirect.Choose(known, g.loads.Arrived(service.Name, now), entropy.New())
 	if choice.Index < 0 {
@@ -43,6 +37,27 @@
 	}, nil
 }
 
+// known is what the picker needs to know of endpoints.
+func (p *picking) known(listed []discovery.Endpoint, now time.Time) []picker.DirectEndpoint {
+	known := make([]picker.DirectEndpoint, len(listed))
+	for i := range listed {
+		e := &listed[i]
+		estimate := p.g.loads.Estimate(e.ID, now)
+		known[i] = picker.DirectEndpoint{
+			Slots: e.Slots, Load: estimate.Load, Reported: estimate.Reported, Lapsed: estimate.Lapsed, Near: e.FailureDomain == p.g.settings.FailureDomain,
+			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved || estimate.Resting,
+		}
+	}
+	return known
+}
+
+// Silent implements forward.Picker.
+func (p *picking) Silent(target forward.Target) bool {
+	listed := p.g.set.Load().Service(target.Service)
+	at := slices.IndexFunc(listed, func(e discovery.Endpoint) bool { return e.ID == target.ID })
+	return at >= 0 && picker.Silent(p.known(listed, time.Now()), at)
+}
+
 const (
 	// fullRetryAfter is when a caller may come back that found all endpoints
 	// full: about the time in which an endpoint's slots serve one request each.
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -24,9 +24,8 @@
 
 const (
 	// reportLife is the age at which a report says nothing of the load any more;
-	// reports come a few times a second, and a group takes up to a second to have
-	// another leader that sends them.
-	reportLife = 1200 * time.Millisecond
+	// reports come a few times a second.
+	reportLife = 600 * time.Millisecond
 	// doubtAfter is how many failures in a row make an endpoint ill.
 	doubtAfter = 2
 	// illFor is how long an endpoint stays ill after its newest failure in a
@@ -181,9 +180,10 @@
 type Estimate struct {
 	// Load counts running and waiting requests.
 	Load float64
-	// Reported is true if a fresh report stands behind it.
-	Reported bool
-	Group    string
+	// Reported is true if a fresh report stands behind it, Lapsed if there was one
+	// and it is old.
+	Reported, Lapsed bool
+	Group            string
 	// Closed is true if its group cannot step.
 	Closed bool
 	// Ill is true if requests failed there of late.
@@ -208,6 +208,7 @@
 		// requests would call free endpoints full; they turn away what they cannot
 		// take.
 		e.Load = float64(s.inFlight)
+		e.Lapsed = !s.reportedAt.IsZero()
 		return e
 	}
 	e.Reported, e.Group = true, s.report.Group
--- a/picker/direct.go
+++ b/picker/direct.go
@@ -28,8 +28,9 @@
 	Slots int
 	// Load estimates the requests that run and wait there.
 	Load float64
-	// Reported is true if a fresh report stands behind Load.
-	Reported bool
+	// Reported is true if a fresh report stands behind Load, Lapsed if there was
+	// one and it is old.
+	Reported, Lapsed bool
 	// Near is true in the chooser's own failure domain.
 	Near bool
 	// Ill is true if its work fails or is slow; it is taken only if no other
@@ -69,6 +70,18 @@
 	return choice
 }
 
+// Silent reports whether endpoint i has probably stopped: it no longer reports,
+// while most others do.
+func Silent(endpoints []DirectEndpoint, i int) bool {
+	reported := 0
+	for k := range endpoints {
+		if endpoints[k].Reported {
+			reported++
+		}
+	}
+	return endpoints[i].Lapsed && 2*reported > len(endpoints)
+}
+
 // judgeSilence sets Ill or Load of the endpoints that do not report.
 func judgeSilence(endpoints []DirectEndpoint) {
 	reported, load := 0, 0.0
@@ -85,7 +98,7 @@
 		e := &endpoints[i]
 		switch {
 		case e.Reported:
-		case 2*reported > len(endpoints):
+		case Silent(endpoints, i):
 			e.Ill = true
 		default:
 			e.Load = max(e.Load, load/float64(reported))
--- a/picker/direct_test.go
+++ b/picker/direct_test.go
@@ -117,7 +117,7 @@
 	fleet := func(reporting int) []DirectEndpoint {
 		known := make([]DirectEndpoint, 16)
 		for i := range known {
-			known[i] = DirectEndpoint{Slots: 12}
+			known[i] = DirectEndpoint{Slots: 12, Lapsed: i >= reporting}
 			if i < reporting {
 				known[i].Load, known[i].Reported = 6, true
 			}
@@ -132,6 +132,9 @@
 		return count
 	}
 	assert.Equal(t, chosen(15)[15], 0)
+	starting := fleet(15)
+	starting[15].Lapsed = false
+	assert.Assert(t, !Silent(starting, 15), "one that has not reported yet has not stopped")
 	few := chosen(4)
 	for i := range 16 {
 		assert.Assert(t, few[i] > 50 && few[i] < 200, "endpoint %d got %d of 1600", i, few[i])
--- /dev/null
+++ b/placement/track_test.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/deployment"
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+)
+
+// TestTrackerFollows: after a shift of demand the estimate is the new mix within
+// a few windows, where the slow average of Estimator is made for hours.
+func TestTrackerFollows(t *testing.T) {
+	const experts = 4
+	tracker := NewTracker(1, experts, 4)
+	window := func(hot int) {
+		counts := []uint32{100, 100, 100, 100}
+		counts[hot] = 700
+		assert.NilError(t, tracker.Observe(0, counts))
+		tracker.Close()
+	}
+	for range 40 {
+		window(0)
+	}
+	assert.Assert(t, tracker.Loads().Share[0] > 0.69)
+	for range 12 {
+		window(2)
+	}
+	l := tracker.Loads()
+	assert.Assert(t, l.Share[2] > 0.65 && l.Share[0] < 0.14, "%v", l.Share)
+	sum := 0.0
+	for _, x := range l.Share {
+		sum += x
+	}
+	assert.Assert(t, sum > 0.999 && sum < 1.001)
+	assert.Equal(t, l.Windows, int64(52))
+}
+
+// TestTrackerWaits: a window with too few tokens goes on, and makes the estimate
+// older.
+func TestTrackerWaits(t *testing.T) {
+	tracker := NewTracker(1, 4, 4)
+	assert.NilError(t, tracker.Observe(0, []uint32{1, 0, 0, 0}))
+	tracker.Close()
+	assert.Equal(t, tracker.Loads().Windows, int64(0))
+	assert.Equal(t, tracker.Loads().Age, int64(1))
+	var fault *ReportError
+	assert.Assert(t, errors.As(tracker.Observe(0, []uint32{1}), &fault))
+}
+
+// TestBoundedLoads: whatever the demand, a decision for engines that fill spare
+// slots beside those in use keeps all of their bounds.
+func TestBoundedLoads(t *testing.T) {
+	shape := expertmap.Shape{Layers: 3, Experts: 16, Ranks: 4, Slots: 8}
+	policy := Policy{
+		Objective: deployment.Objective{Skew: 1, Move: 0.01}, ExpertBytes: 1, Horizon: time.Hour, BatchTime: time.Second,
+		StoreShare: 1, MaxAge: 10, Reserved: 2, LoadsEach: 2, LoadsBatch: 3,
+	}
+	rng := rand.New(rand.NewPCG(8, 9))
+	m, err := expertmap.Static(shape)
+	assert.NilError(t, err)
+	changes := 0
+	for range 60 {
+		loads := Loads{Windows: 5, Share: make([]float64, shape.Layers*shape.Experts), Variance: make([]float64, shape.Layers*shape.Experts)}
+		for i := range loads.Share {
+			x := rng.Float64()
+			loads.Share[i] = x * x * x * x
+		}
+		for layer := range shape.Layers {
+			share := loads.Share[layer*shape.Experts : (layer+1)*shape.Experts]
+			sum := total(share)
+			for i := range share {
+				share[i] /= sum
+			}
+		}
+		d, err := policy.Decide(Input{InForce: m, Loaded: m, Ranks: make([]Rank, shape.Ranks), Loads: loads, Store: Store{BytesPerSecond: 1e9}})
+		assert.NilError(t, err)
+		assert.NilError(t, d.Map.Validate())
+		checkBounds(t, m, d.Map, policy)
+		if d.Change {
+			changes++
+			assert.Assert(t, d.After.Skew < d.Before.Skew)
+		}
+		m = d.Map
+	}
+	assert.Assert(t, changes > 30, "%d changes", changes)
+}
+
+// checkBounds compares two maps by sets of experts, as engines do.
+func checkBounds(t *testing.T, from, to expertmap.Map, p Policy) {
+	shape := from.Shape()
+	for rank := range shape.Ranks {
+		batch := 0
+		for layer := range shape.Layers {
+			used, added := 0, 0
+			for _, e := range to.Rank(layer, rank) {
+				if e == expertmap.Empty {
+					continue
+				}
+				used++
+				if !from.Holds(layer, rank, e) {
+					added++
+				}
+			}
+			assert.Assert(t, used <= shape.Slots-p.Reserved, "rank %d layer %d uses %d slots", rank, layer, used)
+			assert.Assert(t, added <= p.LoadsEach, "rank %d layer %d loads %d", rank, layer, added)
+			batch += added
+		}
+		assert.Assert(t, batch <= p.LoadsBatch, "rank %d loads %d", rank, batch)
+	}
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -39,6 +39,9 @@
 	// leaves the map alone: so gates are closed for a fifth of the time at most,
 	// whatever becomes of orders.
 	closedRest = 4
+	// closedFree is left out of that: a usual gate is closed for less, most of it
+	// before the group comes there.
+	closedFree = 150 * time.Millisecond
 	maxAhead   = 12
 	// idleBusy is the utilisation of the slots up to which a shorter step serves
 	// nobody better, and fullBusy that from which each gain counts in full: the
@@ -227,7 +230,7 @@
 		l.stepAt = now
 		return l.unstick(ctx, group)
 	}
-	if now.Sub(l.triedAt) < closedRest*l.closed {
+	if now.Sub(l.triedAt) < closedRest*(l.closed-closedFree) {
 		return nil
 	}
 	if !state.Open || state.Armed != nil || (state.Map != l.switched && now.Sub(l.switchedAt) < settleTimeout) {
