Give slow ranks fewer experts, and slow groups less work

Cause: all ranks of a group wait for the slowest. Entry nodes went on filling that group, where no stream could end in its 8 s.

Placement now counts a rank's load times its pace; a rank far too slow gets hardly any expert. Agents report the time of a pass and how long the one under way stands; entry nodes take a group whose streams pause for too long only once the others are full, and one that cannot end a stream in twice its time not at all.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -40,6 +40,8 @@
 	LastEvent string
 	// PromptTokens is the prompt's size; zero for unknown.
 	PromptTokens int
+	// AnswerTokens is the caller's guess of the answer's size; zero for unknown.
+	AnswerTokens int
 }
 
 // Attempt is what an endpoint is told about one attempt.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,8 +32,8 @@
 	// LastEvent is the id of the last event that the caller holds of a stream.
 	LastEvent string
 	// PromptTokens and MaxAnswerTokens tell the size of a generation; zero for
-	// unknown.
-	PromptTokens, MaxAnswerTokens int
+	// unknown. LikelyAnswerTokens is the caller's guess of the answer's size.
+	PromptTokens, MaxAnswerTokens, LikelyAnswerTokens int
 }
 
 // Protocol is what callers, endpoints and the store speak.
@@ -234,6 +234,7 @@
 	for _, l := range loads {
 		g.loads.Learn(l.Endpoint, outstanding.Report{
 			Running: l.Running, Queued: l.Queued, Group: l.Group, Open: l.Open, Pace: l.Pace,
+			Pass: time.Duration(l.Pass) * time.Millisecond, Stands: time.Duration(l.Stands) * time.Millisecond,
 		})
 	}
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -24,11 +24,11 @@
 	for i := range listed {
 		known[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
-	choice := picker.DefaultDirect.Choose(known, g.loads.Arrived(service.Name, now), entropy.New())
+	choice := picker.DefaultDirect.Choose(known, p.work(req, now), entropy.New())
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.RefusedError{
-			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, tried %d", len(listed), choice.Usable, choice.Full, len(tried)),
-			After:  retryAfter(choice.Full > 0), MayWait: choice.Full == 0,
+			Reason: fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, too slow %d, tried %d", len(listed), choice.Usable, choice.Full, choice.Slow, len(tried)),
+			After:  retryAfter(choice.Full > 0), MayWait: choice.Full+choice.Slow == 0,
 		}
 	}
 	return forward.Target{
@@ -37,6 +37,20 @@
 	}, nil
 }
 
+// work is what the picker needs to know of a request.
+func (p *picking) work(req *forward.Request, now time.Time) picker.Work {
+	m := req.Match
+	w := picker.Work{Unseen: p.g.loads.Arrived(m.Service.Name, now), Left: req.Deadline.Sub(now)}
+	if e := m.Service.Engine; e != nil && m.Route.Stream {
+		tokens := req.AnswerTokens
+		if tokens <= 0 {
+			tokens = e.UsualAnswer
+		}
+		w.Gap, w.Passes = m.Route.TargetGap, float64(tokens)/float64(max(e.StepsPerPass, 1))
+	}
+	return w
+}
+
 // known is what the picker needs to know of endpoints.
 func (p *picking) known(listed []discovery.Endpoint, now time.Time) []picker.DirectEndpoint {
 	known := make([]picker.DirectEndpoint, len(listed))
@@ -46,6 +60,7 @@
 		known[i] = picker.DirectEndpoint{
 			Slots: e.Slots, Load: estimate.Load, Reported: estimate.Reported, Lapsed: estimate.Lapsed, Near: e.FailureDomain == p.g.settings.FailureDomain,
 			Ill: estimate.Ill, Broken: e.Draining || estimate.Closed || estimate.Moved || estimate.Resting,
+			Pace: estimate.Pace, Pass: estimate.Pass, Stands: estimate.Stands,
 		}
 	}
 	return known
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -126,7 +126,7 @@
 		ID: caller.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: g.protocol.ForwardedHeaders(r.Header), Body: body, Match: match,
 		Arrived: arrived, Deadline: arrived.Add(timeFor(caller.Deadline, match.Route.Timeout)),
-		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens,
+		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.LikelyAnswerTokens,
 	}, nil
 }
 
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -20,6 +20,9 @@
 	Open  bool
 	// Pace is above 1 for an endpoint that is slower than it should be.
 	Pace float64
+	// Pass is the time of a pass of late, zero for unknown; Stands is how long the
+	// pass under way has taken.
+	Pass, Stands time.Duration
 }
 
 const (
@@ -192,6 +195,9 @@
 	Moved bool
 	// Resting is true if it turned requests away of late.
 	Resting bool
+	// Pace, Pass and Stands are the report's.
+	Pace         float64
+	Pass, Stands time.Duration
 }
 
 // Estimate returns what is thought of an endpoint.
@@ -212,6 +218,7 @@
 		return e
 	}
 	e.Reported, e.Group = true, s.report.Group
+	e.Pace, e.Pass, e.Stands = s.report.Pace, s.report.Pass, s.report.Stands
 	e.Closed = s.report.Group != "" && !s.report.Open
 	e.Load = float64(max(s.report.Running+s.report.Queued+s.inFlight-s.reportedOwn, s.inFlight))
 	return e
--- a/peernews/peer.go
+++ b/peernews/peer.go
@@ -30,6 +30,10 @@
 	// Open is false while the group cannot step.
 	Open bool    `json:"o"`
 	Pace float64 `json:"p,omitempty"`
+	// Pass is the time of a pass of late, Stands how long the pass under way has
+	// taken, both in milliseconds.
+	Pass   int64 `json:"t,omitempty"`
+	Stands int64 `json:"s,omitempty"`
 }
 
 // Datagram is one message between processes.
--- a/picker/direct.go
+++ b/picker/direct.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 )
 
 // Direct chooses among endpoints that announced themselves and whose load is
@@ -12,8 +13,12 @@
 // the least loaded endpoint by such a report would take it together with all
 // other nodes. So Direct spreads the requests that all nodes send in the age of
 // the reports: it fills the endpoints up to one common level, and draws each one
-// in proportion to what it lacks to that level. It is immutable and safe for
-// concurrent use.
+// in proportion to what it lacks to that level.
+//
+// It also answers a load in which a rank group has become slow, as all its ranks
+// wait for a slow one: work goes there only once the groups that are in time have
+// no room, and not at all if it could not end in its time. It is immutable and
+// safe for concurrent use.
 type Direct struct {
 	// Queue is how many requests beyond its slots an endpoint is given.
 	Queue float64
@@ -40,6 +45,47 @@
 	Broken bool
 	// Tried is true if the request was there before.
 	Tried bool
+	// Pass is the time of a pass of its group of late, zero for unknown; each
+	// pass brings an event of a stream. Stands is how long the pass under way has
+	// taken.
+	Pass, Stands time.Duration
+	// Pace is how many times as long as others of its group it takes for the same
+	// work; what is below 1 counts as 1.
+	Pace float64
+}
+
+// Work is what Direct knows of a request.
+type Work struct {
+	// Unseen is how many requests of all nodes the endpoints' loads do not show
+	// yet.
+	Unseen float64
+	// Passes is how many passes the request probably takes, zero for unknown.
+	Passes float64
+	// Gap is the longest pause between events that the caller bears, zero for no
+	// stream.
+	Gap time.Duration
+	// Left is what is left of the caller's time.
+	Left time.Duration
+}
+
+// lateGaps is from how many times the longest pause a pass counts as late: one
+// long pass may follow from a few long prompts, and two nodes that each see the
+// other group a little ahead must not drive all work to and fro.
+const lateGaps = 1.5
+
+// late reports whether a stream there pauses for too long.
+func (w Work) late(e *DirectEndpoint) bool {
+	return w.Gap > 0 && max(e.Pass, e.Stands) > time.Duration(lateGaps*float64(w.Gap))
+}
+
+// hopelessTimes is how many times what is left of its time a request has to take
+// for that: a group's slowness passes, and callers guess the size of an answer
+// twice too high at times.
+const hopelessTimes = 2
+
+// hopeless reports whether the request would surely run out of time there.
+func (w Work) hopeless(e *DirectEndpoint) bool {
+	return w.Left > 0 && time.Duration(w.Passes*float64(e.Pass)) > hopelessTimes*w.Left
 }
 
 // Choice is the outcome of Direct.Choose.
@@ -47,25 +93,24 @@
 	// Index is the position of the chosen endpoint, -1 if there is none.
 	Index int
 	// Usable counts the endpoints that could serve, Full those of them without
-	// room.
-	Usable, Full int
+	// room, Slow those that have room but not in time.
+	Usable, Full, Slow int
 	// Ill is true if only ill endpoints were left.
 	Ill bool
 }
 
-// Choose picks an endpoint for one attempt. unseen is how many requests of all
-// nodes the loads do not show yet.
+// Choose picks an endpoint for one attempt.
 //
 // Where most endpoints report, one that does not has probably stopped, and its
 // low load is what the chooser does not know: it counts as ill. Where few do,
 // their reporters have stopped, and it counts as loaded as those that report.
-func (d Direct) Choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand) Choice {
+func (d Direct) Choose(endpoints []DirectEndpoint, work Work, rng *rand.Rand) Choice {
 	judgeSilence(endpoints)
-	choice := d.choose(endpoints, unseen, rng, false)
-	if choice.Index >= 0 || choice.Full > 0 {
+	choice := d.choose(endpoints, work, rng, false)
+	if choice.Index >= 0 || choice.Full+choice.Slow > 0 {
 		return choice
 	}
-	choice = d.choose(endpoints, unseen, rng, true)
+	choice = d.choose(endpoints, work, rng, true)
 	choice.Ill = choice.Index >= 0
 	return choice
 }
@@ -107,9 +152,10 @@
 }
 
 // choose picks among the sound endpoints, or among the ill ones too.
-func (d Direct) choose(endpoints []DirectEndpoint, unseen float64, rng *rand.Rand, ill bool) Choice {
+func (d Direct) choose(endpoints []DirectEndpoint, work Work, rng *rand.Rand, ill bool) Choice {
 	choice := Choice{Index: -1}
 	open := make([]int, 0, len(endpoints))
+	var late []int
 	for i := range endpoints {
 		e := &endpoints[i]
 		if e.Broken || e.Tried || (e.Ill && !ill) {
@@ -120,10 +166,20 @@
 			choice.Full++
 			continue
 		}
-		open = append(open, i)
+		switch {
+		case work.hopeless(e):
+			choice.Slow++
+		case work.late(e):
+			late = append(late, i)
+		default:
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		open = late
 	}
 	if len(open) > 0 {
-		choice.Index = draw(endpoints, open, unseen, rng)
+		choice.Index = draw(endpoints, open, work.Unseen, rng)
 	}
 	return choice
 }
@@ -151,7 +207,7 @@
 
 // lack is the weight of an endpoint: what it is below the level.
 func lack(e *DirectEndpoint, level float64) float64 {
-	weight := max(level-e.Load, 0)
+	weight := max(level-e.Load, 0) / max(e.Pace, 1)
 	if e.Near {
 		weight *= nearWeight
 	}
--- a/picker/direct_test.go
+++ b/picker/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,7 +83,7 @@
 func random(known []DirectEndpoint, _ float64, rng *rand.Rand) int { return rng.IntN(len(known)) }
 
 func direct(known []DirectEndpoint, unseen float64, rng *rand.Rand) int {
-	return DefaultDirect.Choose(known, unseen, rng).Index
+	return DefaultDirect.Choose(known, Work{Unseen: unseen}, rng).Index
 }
 
 // TestStaleReports: the load of a usual day of 16 endpoints of 12 slots, 75
@@ -127,7 +128,7 @@
 	chosen := func(reporting int) map[int]int {
 		count := make(map[int]int)
 		for range 1600 {
-			count[DefaultDirect.Choose(fleet(reporting), 20, rng).Index]++
+			count[DefaultDirect.Choose(fleet(reporting), Work{Unseen: 20}, rng).Index]++
 		}
 		return count
 	}
@@ -160,7 +161,98 @@
 		{"no ill one while others are only full", []DirectEndpoint{full, ill}, Choice{Index: -1, Usable: 1, Full: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, DefaultDirect.Choose(c.known, 0, rng), c.want)
+			assert.Equal(t, DefaultDirect.Choose(c.known, Work{}, rng), c.want)
 		})
 	}
 }
+
+// slowGroup plays 30 s of streams for two groups of 8 endpoints, the second of
+// which takes 0.6 s for a pass instead of 70 ms. It returns how many streams came,
+// ended in time without a late pause, ended at all, and were refused.
+func slowGroup(perSecond float64, told bool, rng *rand.Rand) (came, onTime, served, refused int) {
+	const (
+		tick, events, slots = 10 * time.Millisecond, 28, 12
+		gap, given          = 120 * time.Millisecond, 8 * time.Second
+		reportEvery         = 15 // ticks
+	)
+	pass := [2]time.Duration{70 * time.Millisecond, 600 * time.Millisecond}
+	type stream struct{ ends time.Duration }
+	var running [16][]stream
+	var reported [16]float64
+	for at := time.Duration(0); at < 30*time.Second; at += tick {
+		for i := range running {
+			running[i] = slices.DeleteFunc(running[i], func(s stream) bool { return at >= s.ends })
+			if at/tick%reportEvery == 0 {
+				reported[i] = float64(len(running[i]))
+			}
+		}
+		for range int(perSecond*tick.Seconds() + rng.Float64()) {
+			came++
+			known := make([]DirectEndpoint, 16)
+			for i := range known {
+				known[i] = DirectEndpoint{Slots: slots, Load: reported[i], Reported: true}
+				if told {
+					known[i].Pass = pass[i/8]
+				}
+			}
+			work := Work{Unseen: perSecond * 0.15, Passes: events, Gap: gap, Left: given}
+			at0 := DefaultDirect.Choose(known, work, rng).Index
+			if at0 < 0 || len(running[at0]) >= slots+2 {
+				refused++
+				continue
+			}
+			lasts := events * pass[at0/8]
+			running[at0] = append(running[at0], stream{ends: at + min(lasts, given)})
+			if lasts <= given {
+				served++
+				if pass[at0/8] <= gap {
+					onTime++
+				}
+			}
+		}
+	}
+	return came, onTime, served, refused
+}
+
+// TestSlowGroup: while one of two groups is so slow that nothing ends there in
+// time, the other one is used to the full and the rest is refused at once, instead
+// of half of the callers waiting in vain.
+func TestSlowGroup(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	// The sound group ends 96 streams in 2 s.
+	for _, perSecond := range []float64{30, 45} {
+		came, onTime, served, refused := slowGroup(perSecond, true, rng)
+		assert.Assert(t, onTime > came*95/100 && refused <= came/20, "%g a second: %d of %d on time, %d refused", perSecond, onTime, came, refused)
+		assert.Equal(t, served, onTime)
+		_, blind, _, _ := slowGroup(perSecond, false, rng)
+		assert.Assert(t, blind < came*85/100, "%g a second, without the time of passes: %d of %d on time", perSecond, blind, came)
+	}
+	came, onTime, served, refused := slowGroup(75, true, rng)
+	assert.Assert(t, onTime > 48*30*95/100, "the sound group's slots are used: %d of %d", onTime, came)
+	assert.Equal(t, served+refused, came, "nobody waits in vain")
+}
+
+// TestLateOnlyIfNeeded: a late group is taken once those in time are full, and an
+// endpoint of its own slow pace less than its neighbours.
+func TestLateOnlyIfNeeded(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	work := Work{Unseen: 5, Passes: 10, Gap: 100 * time.Millisecond, Left: 8 * time.Second}
+	late := DirectEndpoint{Slots: 4, Pass: 300 * time.Millisecond}
+	stands := DirectEndpoint{Slots: 4, Pass: 50 * time.Millisecond, Stands: 300 * time.Millisecond}
+	inTime := DirectEndpoint{Slots: 4, Pass: 90 * time.Millisecond}
+	full := inTime
+	full.Load = 6
+	hopeless := DirectEndpoint{Slots: 4, Pass: 2 * time.Second}
+	for range 50 {
+		assert.Equal(t, DefaultDirect.Choose([]DirectEndpoint{late, stands, inTime, hopeless}, work, rng).Index, 2)
+	}
+	assert.Equal(t, DefaultDirect.Choose([]DirectEndpoint{late, full, hopeless}, work, rng).Index, 0)
+	assert.DeepEqual(t, DefaultDirect.Choose([]DirectEndpoint{full, hopeless}, work, rng), Choice{Index: -1, Usable: 2, Full: 1, Slow: 1})
+	slow := inTime
+	slow.Pace = 9
+	taken := 0
+	for range 1000 {
+		taken += DefaultDirect.Choose([]DirectEndpoint{inTime, slow}, work, rng).Index
+	}
+	assert.Assert(t, taken > 50 && taken < 200, "1 of 10: %d", taken)
+}
--- a/placement/layer.go
+++ b/placement/layer.go
@@ -12,6 +12,8 @@
 	// domain numbers each rank's failure domain.
 	domain []int
 	alive  []bool
+	// pace is how many times as long as usual each rank takes.
+	pace []float64
 	// mean is the mean rank load: one over the number of live ranks.
 	mean float64
 	// limit is the number of slots that the map uses on one rank without need.
@@ -35,7 +37,7 @@
 	base, loaded, use []expertmap.Expert
 	// holders lists the ranks that hold each expert in use.
 	holders [][]int
-	// load and used are by rank.
+	// load and used are by rank. A load is what the rank holds times its pace.
 	load []float64
 	used []int
 	// loads is the number of slots in which use differs from loaded, and regains
@@ -88,7 +90,7 @@
 	}
 	for e, holders := range l.holders {
 		for _, rank := range holders {
-			l.load[rank] += l.share[e] / float64(len(holders))
+			l.load[rank] += l.share[e] / float64(len(holders)) * l.pace[rank]
 		}
 	}
 }
@@ -202,7 +204,7 @@
 	}
 	each := sign * l.each(e)
 	for _, rank := range l.holders[e] {
-		l.load[rank] += each
+		l.load[rank] += each * l.pace[rank]
 	}
 }
 
@@ -229,7 +231,7 @@
 			total += l.variance[e] / (k * k)
 		}
 	}
-	return total
+	return total * l.pace[rank] * l.pace[rank]
 }
 
 // crowds reports whether a replica of e on the rank would share its failure
@@ -271,7 +273,7 @@
 	}
 	grown := l.share[e]/float64(k-1) - l.each(e)
 	for _, o := range l.holders[e] {
-		if o != rank && l.load[o]+grown > peak {
+		if o != rank && l.load[o]+grown*l.pace[o] > peak {
 			return false
 		}
 	}
--- a/placement/objective.go
+++ b/placement/objective.go
@@ -84,20 +84,21 @@
 }
 
 // Skew returns the skew of a step in which the experts have the given shares,
-// over the ranks that are not lost. Experts that no rank holds count for
+// over the ranks that are not lost: how many times as long the step takes as with
+// evenly loaded ranks of usual pace. Experts that no rank holds count for
 // nothing.
 func Skew(m expertmap.Map, l Loads, ranks []Rank) float64 {
 	shape := m.Shape()
 	alive := float64(aliveRanks(ranks))
 	total := 0.0
 	for layer := range shape.Layers {
-		total += maxLoad(m, layer, l.layer(layer, shape.Experts)) * alive
+		total += maxLoad(m, layer, l.layer(layer, shape.Experts), ranks) * alive
 	}
 	return max(1, total/float64(shape.Layers))
 }
 
-// maxLoad is the largest rank load of a layer.
-func maxLoad(m expertmap.Map, layer int, share []float64) float64 {
+// maxLoad is the largest rank load of a layer, each times the rank's pace.
+func maxLoad(m expertmap.Map, layer int, share []float64, ranks []Rank) float64 {
 	replicas := m.Replicas(layer)
 	largest := 0.0
 	for rank := range m.Shape().Ranks {
@@ -107,6 +108,9 @@
 				load += share[e] / float64(replicas[e])
 			}
 		}
+		if rank < len(ranks) {
+			load *= ranks[rank].pace()
+		}
 		largest = max(largest, load)
 	}
 	return largest
@@ -118,9 +122,16 @@
 // load; the bound of the step is the mean over the layers.
 func Bound(shape expertmap.Shape, l Loads, ranks []Rank) float64 {
 	alive := aliveRanks(ranks)
+	// Ranks that all finish at once share the work as their paces allow.
+	fast := 0.0
+	for _, r := range ranks {
+		if !r.Lost {
+			fast += 1 / r.pace()
+		}
+	}
 	total := 0.0
 	for layer := range shape.Layers {
-		total += layerBound(l.layer(layer, shape.Experts), alive, shape.Slots)
+		total += max(layerBound(l.layer(layer, shape.Experts), alive, shape.Slots), float64(alive)/fast)
 	}
 	return total / float64(shape.Layers)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,8 +88,15 @@
 	FailureDomain string
 	// Lost is true when the rank takes no part in the group any more.
 	Lost bool
+	// Pace is how many times as long as a usual rank it takes for the same work;
+	// what is below 1 counts as 1. All ranks wait for a slow one, so it gets the
+	// fewer experts.
+	Pace float64
 }
 
+// pace is the rank's pace, at least 1.
+func (r Rank) pace() float64 { return max(r.Pace, 1) }
+
 // Store is the state of the weight store as the group sees it.
 type Store struct {
 	// Down is true during an outage: nothing can be loaded.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -201,6 +201,34 @@
 
 // TestAgainstNaive compares where the policy comes to rest with both naive ways:
 // skew as good as a full re-solve's or the target, at half of its bytes.
+// TestSlowRankHoldsLess: all ranks wait for the slowest, so a rank that takes five
+// times as long gets hardly any load, and gets it back once it is well.
+func TestSlowRankHoldsLess(t *testing.T) {
+	const slow = 2
+	shape := expertmap.Shape{Layers: 2, Experts: 32, Ranks: 4, Slots: 14}
+	static, err := expertmap.Static(shape)
+	assert.NilError(t, err)
+	in := placement.Input{
+		InForce: static, Loaded: static, Ranks: ranks(4), Store: placement.Store{BytesPerSecond: 1000},
+		Loads: placement.Loads{Windows: 1, Variance: make([]float64, 64)},
+	}
+	for range 64 {
+		in.Loads.Share = append(in.Loads.Share, 1.0/32)
+	}
+	p := placement.NewPolicy(deployment.Group{ExpertBytes: 100, Objective: deployment.Objective{Skew: 1, Move: 0.1}})
+	in.Ranks[slow].Pace = 5
+	before := placement.Skew(in.InForce, in.Loads, in.Ranks)
+	assert.Equal(t, before, 5.0)
+	settle(t, p, &in)
+	// The three others share the work: 4/3, and 4/3.2 with all the slow one can do.
+	bound := placement.Bound(shape, in.Loads, in.Ranks)
+	assert.Assert(t, bound > 1.24 && bound < 1.26, "%g", bound)
+	assert.Assert(t, placement.Skew(in.InForce, in.Loads, in.Ranks) < 1.4, "%g", placement.Skew(in.InForce, in.Loads, in.Ranks))
+	in.Ranks[slow].Pace = 1
+	settle(t, p, &in)
+	assert.Assert(t, placement.Skew(in.InForce, in.Loads, in.Ranks) < 1.1, "%g", placement.Skew(in.InForce, in.Loads, in.Ranks))
+}
+
 func TestAgainstNaive(t *testing.T) {
 	for _, shape := range []drift.Shape{drift.Slow, drift.Sudden, drift.Correlated} {
 		c := drift.Config{Shape: shape, Layers: 4, Experts: 64, Ranks: 16, Seed: 3}
--- a/placement/search.go
+++ b/placement/search.go
@@ -139,6 +139,7 @@
 		shape:   shape,
 		domain:  make([]int, shape.Ranks),
 		alive:   make([]bool, shape.Ranks),
+		pace:    make([]float64, shape.Ranks),
 		limit:   shape.Slots,
 		canLoad: !in.Store.Down && in.Store.BytesPerSecond > 0,
 	}
@@ -154,6 +155,7 @@
 		}
 		g.domain[rank] = number[r.FailureDomain]
 		g.alive[rank] = !r.Lost
+		g.pace[rank] = r.pace()
 	}
 	return g
 }
--- a/placement/step.go
+++ b/placement/step.go
@@ -72,10 +72,10 @@
 		return
 	}
 	grown := c.l.share[e]/float64(k-1) - c.l.each(e)
-	peak := c.first - c.l.each(e)
+	peak := c.first - c.l.each(e)*c.l.pace[c.hot]
 	for _, r := range c.l.holders[e] {
 		if r != c.hot {
-			peak = max(peak, c.l.load[r]+grown)
+			peak = max(peak, c.l.load[r]+grown*c.l.pace[r])
 		}
 	}
 	c.offer(step{add: expertmap.Empty, to: -1, from: c.hot, evict: e, back: -1, peak: peak})
@@ -92,13 +92,12 @@
 	k := float64(len(l.holders[e]))
 	shared := l.share[e] / (k + 1)
 	none := expertmap.Empty
-	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each+shared, l.load[r]+shared)) {
-		c.offer(step{add: e, to: r, from: -1, evict: none, back: -1, cost: cost,
-			peak: max(c.first-each+shared, l.load[r]+shared)})
+	slow, slowHot := l.pace[r], l.pace[c.hot]
+	if peak := max(c.first-(each-shared)*slowHot, l.load[r]+shared*slow); l.used[r] < l.limit || c.worthLastSlot(peak) {
+		c.offer(step{add: e, to: r, from: -1, evict: none, back: -1, cost: cost, peak: peak})
 	}
-	if l.used[r] < l.limit || c.worthLastSlot(max(c.first-each, l.load[r]+each)) {
-		c.offer(step{add: e, to: r, from: c.hot, evict: none, back: -1, cost: cost,
-			peak: max(c.first-each, l.load[r]+each)})
+	if peak := max(c.first-each*slowHot, l.load[r]+each*slow); l.used[r] < l.limit || c.worthLastSlot(peak) {
+		c.offer(step{add: e, to: r, from: c.hot, evict: none, back: -1, cost: cost, peak: peak})
 	}
 	for _, b := range l.rank(r) {
 		if b == expertmap.Empty {
@@ -119,7 +118,7 @@
 func (c *chooser) trySwap(e expertmap.Expert, r int, b expertmap.Expert, cost float64) {
 	l := c.l
 	d := l.each(e) - l.each(b)
-	peak := max(c.first-d, l.load[r]+d)
+	peak := max(c.first-d*l.pace[c.hot], l.load[r]+d*l.pace[r])
 	if c.hopeless(peak, cost) || l.holds(c.hot, b) {
 		return
 	}
@@ -150,13 +149,14 @@
 		case c.hot:
 			hot = grown
 		default:
-			others = max(others, l.load[o]+grown)
+			others = max(others, l.load[o]+grown*l.pace[o])
 		}
 	}
+	slow, slowHot := l.pace[r], l.pace[c.hot]
 	c.offer(step{add: e, to: r, from: -1, evict: b, back: -1, cost: cost,
-		peak: max(others, c.first-each+shared+hot, l.load[r]+shared-eachB)})
+		peak: max(others, c.first-(each-shared-hot)*slowHot, l.load[r]+(shared-eachB)*slow)})
 	c.offer(step{add: e, to: r, from: c.hot, evict: b, back: -1, cost: cost,
-		peak: max(others, c.first-each+hot, l.load[r]+each-eachB)})
+		peak: max(others, c.first-(each-hot)*slowHot, l.load[r]+(each-eachB)*slow)})
 }
 
 // offer keeps the step if it lowers the hottest rank and is the best so far. A
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
+	"github.com/cyclamenpoint/cyclamenpoint/placement"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
 
@@ -87,6 +88,7 @@
 	engineModel atomic.Pointer[route.Engine]
 	state       atomic.Pointer[State]
 	lead        *leader
+	passes      passClock
 
 	mu sync.Mutex
 	// heard is the rank of the group's leader, noRank before one was heard, and
@@ -190,6 +192,7 @@
 		return
 	}
 	a.state.Store(&state)
+	a.passes.see(state, now)
 	if state.Group == "" {
 		return
 	}
@@ -331,6 +334,7 @@
 	load := peernews.Load{
 		Endpoint: a.settings.Endpoint, Running: state.Running, Queued: state.Queued,
 		Group: state.Group, Rank: state.Rank, Open: state.Open, Pace: state.Pace,
+		Pass: a.passes.pass().Milliseconds(), Stands: a.passes.stands(now).Milliseconds(),
 	}
 	d := peernews.Datagram{From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank}
 	if now.Sub(a.countedAt) >= countPeriod {
@@ -464,6 +468,19 @@
 	return ranks, busy / float64(max(ranks, 1))
 }
 
+// ranks returns what the reports of late say of each rank.
+func (a *Agent) ranks(now time.Time, size int) []placement.Rank {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ranks := make([]placement.Rank, size)
+	for _, l := range a.loads {
+		if l.Rank < size && now.Sub(l.at) <= reportLimit {
+			ranks[l.Rank].Pace = l.Pace
+		}
+	}
+	return ranks
+}
+
 // serveWant brings about what a leader wants of this engine.
 func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
 	var want Want
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -48,6 +48,9 @@
 	// rest is left to the bursts that fill them.
 	idleBusy = 0.3
 	fullBusy = 0.7
+	// slowPace is the pace from which a rank counts as slow: half of the usual
+	// distance of a step from the longest pause that callers bear.
+	slowPace = 1.5
 	// horizonBatches bounds the horizon from below, in batchTime: where a copy
 	// takes next to nothing, a change still has to outlast its own making.
 	horizonBatches = 8
@@ -55,7 +58,7 @@
 	// time of a switch the group cannot follow anything else.
 	leastGain = 0.04
 	// batchTime bounds the copies of one change: about what the rest of a switch
-	// takes.
+	// takes. Where passes are slow, it is the passes that a switch waits for.
 	batchTime = 250 * time.Millisecond
 )
 
@@ -76,12 +79,10 @@
 	// switched is the version of the newest switch and switchedAt its time.
 	switched   uint64
 	switchedAt time.Time
-	// step is the newest pass that was seen, at stepAt.
-	step   uint64
-	stepAt time.Time
-	// pass is the time that a pass took of late, closed how long a gate was
-	// closed, fading with each switch.
-	pass, closed time.Duration
+	// unstuckAt is when the leader looked last for a hold that was left.
+	unstuckAt time.Time
+	// closed is how long a gate was closed, fading with each switch.
+	closed time.Duration
 	// triedAt is when the newest switch ended.
 	triedAt time.Time
 	reason  placement.Reason
@@ -216,18 +217,12 @@
 
 // decide lets the policy decide and puts its map in force.
 func (l *leader) decide(ctx context.Context, state State, now time.Time) error {
-	if state.Step != l.step || state.Running == 0 {
-		if state.Step > l.step && !l.stepAt.IsZero() {
-			l.pass = now.Sub(l.stepAt) / time.Duration(state.Step-l.step)
-		}
-		l.step, l.stepAt = state.Step, now
-	}
 	group, err := l.a.group(state)
 	if err != nil {
 		return err
 	}
-	if now.Sub(l.stepAt) >= stuckLimit && state.Open {
-		l.stepAt = now
+	if l.a.passes.stands(now) >= stuckLimit && now.Sub(l.unstuckAt) >= stuckLimit && state.Open {
+		l.unstuckAt = now
 		return l.unstick(ctx, group)
 	}
 	if now.Sub(l.triedAt) < closedRest*(l.closed-closedFree) {
@@ -237,16 +232,17 @@
 		return nil
 	}
 	model := l.a.engineModel.Load()
-	ranks, busy := l.a.reporting(now, model.Slots)
-	if ranks < l.shape.Ranks {
+	reporting, busy := l.a.reporting(now, model.Slots)
+	if reporting < l.shape.Ranks {
 		return nil
 	}
+	ranks := l.a.ranks(now, l.shape.Ranks)
 	inForce, err := l.inForce(ctx, group, state)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
-	decision, err := policy(model.Experts, l.shape.Ranks, busy).Decide(l.input(inForce, model.Experts))
+	decision, err := policy(model.Experts, l.shape.Ranks, worth(busy, ranks), l.batchTime(now)).Decide(l.input(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
 	}
@@ -300,10 +296,17 @@
 // ahead is how many passes the gate has been closed for of late. While orders
 // get no answer, that is far more than usual.
 func (l *leader) ahead() uint64 {
-	if l.pass <= 0 {
+	pass := l.a.passes.pass()
+	if pass <= 0 {
 		return 0
 	}
-	return min(uint64(l.closed/l.pass), maxAhead)
+	return min(uint64(l.closed/pass), maxAhead)
+}
+
+// batchTime is the time for the copies of one change.
+func (l *leader) batchTime(now time.Time) time.Duration {
+	// The pass under way may have become far longer than the last one.
+	return max(batchTime, stepsAhead*max(l.a.passes.pass(), l.a.passes.stands(now)))
 }
 
 // unstick looks for a hold that was left and ends it.
@@ -336,12 +339,12 @@
 	return m, err
 }
 
-func (l *leader) input(inForce expertmap.Map, e *route.Experts) placement.Input {
+func (l *leader) input(inForce expertmap.Map, ranks []placement.Rank, e *route.Experts) placement.Input {
 	in := placement.Input{
 		InForce: inForce, Loaded: inForce, Loads: l.estimator.Loads(),
 		Store: placement.Store{BytesPerSecond: e.LoadBytesPerSecond * float64(l.shape.Ranks)},
 	}
-	in.Ranks = make([]placement.Rank, l.shape.Ranks)
+	in.Ranks = ranks
 	return in
 }
 
@@ -358,24 +361,31 @@
 	return max(stay.Seconds()/countPeriod.Seconds(), 1)
 }
 
-// worth is the part of a gain in step time that counts at a utilisation.
-func worth(busy float64) float64 {
+// worth is the part of a gain in step time that counts at a utilisation of the
+// slots, from 0 to 1: a shorter step serves callers as far as there is work for
+// it, or as a slow rank makes every step late.
+func worth(busy float64, ranks []placement.Rank) float64 {
+	for _, r := range ranks {
+		if r.Pace >= slowPace {
+			return 1
+		}
+	}
 	return min(max((busy-idleBusy)/(fullBusy-idleBusy), 0), 1)
 }
 
 // policy returns the placement policy at the group's own rates: what a copy
-// takes decides how far ahead a change has to pay, and what it costs. busy is
-// the utilisation of the group's slots, from 0 to 1: a shorter step serves
-// callers as far as there is work for it.
-func policy(e *route.Experts, ranks int, busy float64) placement.Policy {
+// takes decides how far ahead a change has to pay, and what it costs. worth is
+// the part of a gain in step time that counts, batch the time for the copies of
+// one change.
+func policy(e *route.Experts, ranks int, worth float64, batch time.Duration) placement.Policy {
 	fill := fillTime(e)
 	copyOne := fill / time.Duration(max(e.Layers*e.Spare, 1))
-	horizon := max(horizonCopies*fill, horizonBatches*batchTime)
+	horizon := max(horizonCopies*fill, horizonBatches*batch)
 	// A copy slows the whole group, while all ranks copy side by side.
 	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.Experts)
 	return placement.Policy{
-		Objective: deployment.Objective{Skew: e.Share * worth(busy), Move: move}, ExpertBytes: e.ExpertBytes,
-		Horizon: horizon, BatchTime: batchTime, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
-		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batchTime/copyOne), 1),
+		Objective: deployment.Objective{Skew: e.Share * worth, Move: move}, ExpertBytes: e.ExpertBytes,
+		Horizon: horizon, BatchTime: batch, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
+		Reserved: e.Spare, LoadsEach: e.Spare, LoadsBatch: max(int(batch/copyOne), 1),
 	}
 }
