Place experts by what running answers ask, not by what prompts chose

Cause: an engine's counts hold the choices of prompts and of answers. But by the settings of the engines a token of an answer takes 0.355 ms and one of a prompt 0.016.

The agent beside an engine now works out the mix of its running answers: windows without a prompt show it; one with a prompt shows what the request that begins will choose, and counts for that one only. The leader adds up the newest word of all ranks, with next to no memory of its own. A busy group's step for a switch is not spread at random any more, and engines are looked at every 50 ms.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// lookPeriod is the time between two looks at the engine.
-	lookPeriod = 100 * time.Millisecond
-	// countPeriod is the time between two reports of the experts' counts: a
-	// window of the load estimate.
+	// lookPeriod is the time between two looks at the engine: less than a pass of a
+	// busy group takes, so that a map in force is seen at once.
+	lookPeriod = 50 * time.Millisecond
+	// countPeriod is the time between two reports of the load and of what is asked
+	// of the experts: a window of the load estimate.
 	countPeriod = 100 * time.Millisecond
 	// leaderTimeout is the silence after which a leader counts as gone, and
 	// leaderStagger what each further rank waits longer, so that one of them
@@ -102,8 +103,8 @@
 	// What follows belongs to the looking goroutine.
 	heldSince   time.Time
 	standsSince time.Time
-	lastCount   Counts
-	countedAt   time.Time
+	demand      *demand
+	reportedAt  time.Time
 	lost        bool
 }
 
@@ -198,7 +199,10 @@
 	}
 	a.registry.Place(state.Group, state.Rank, state.Size)
 	a.watchHold(ctx, state, now)
-	a.report(ctx, state, now)
+	if now.Sub(a.reportedAt) >= countPeriod-lookPeriod/2 {
+		a.reportedAt = now
+		a.report(ctx, state, now)
+	}
 }
 
 func (a *Agent) noteLost(err error) {
@@ -328,18 +332,16 @@
 	return expertmap.Shape{Layers: e.Layers, Experts: e.Experts, Ranks: state.Size, Slots: e.Slots + e.Spare}
 }
 
-// report sends the engine's load, and from time to time the experts' counts, to
-// the group's leader.
+// report sends the engine's load, and what is asked of the experts, to the group's
+// leader.
 func (a *Agent) report(ctx context.Context, state State, now time.Time) {
 	load := peernews.Load{
 		Endpoint: a.settings.Endpoint, Running: state.Running, Queued: state.Queued,
 		Group: state.Group, Rank: state.Rank, Open: state.Open, Pace: float32(state.Pace),
 		Pass: a.passes.pass().Milliseconds(), Stands: a.passes.stands(now).Milliseconds(),
 	}
-	d := peernews.Datagram{From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank}
-	if now.Sub(a.countedAt) >= countPeriod {
-		a.countedAt = now
-		d.Counts = peernews.PackCounts(a.countsSince(ctx))
+	d := peernews.Datagram{
+		From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank, Counts: peernews.PackCounts(a.asked(ctx, state)),
 	}
 	leaderRank, leading := a.leader(state, now)
 	if leaderRank == noRank {
@@ -349,9 +351,7 @@
 	}
 	if leading {
 		a.takeLoads(d.Loads)
-		if counts := d.Counts.Counts(); counts != nil {
-			a.lead.count(state.Rank, counts)
-		}
+		a.lead.hear(state.Rank, d.Counts.Counts(), now)
 		return
 	}
 	for _, n := range a.registry.Group(state.Group) {
@@ -361,9 +361,13 @@
 	}
 }
 
-// countsSince returns the counts since the last call, nil at the first one and
-// after a restart of the engine.
-func (a *Agent) countsSince(ctx context.Context) []uint32 {
+// asked returns what the engine's running requests ask of each expert, by layer
+// and expert, or nil while that is not known.
+func (a *Agent) asked(ctx context.Context, state State) []uint32 {
+	model := a.engineModel.Load()
+	if model == nil || model.Experts == nil {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	counts, err := a.engine.Counts(ctx)
@@ -371,19 +375,11 @@
 		a.log.Debug("no counts", "error", err.Error())
 		return nil
 	}
-	last := a.lastCount
-	a.lastCount = counts
-	if len(last.Counts) != len(counts.Counts) {
-		return nil
-	}
-	delta := make([]uint32, len(counts.Counts))
-	for i, n := range counts.Counts {
-		if n < last.Counts[i] {
-			return nil
-		}
-		delta[i] = uint32(n - last.Counts[i])
+	if d := a.demand; d == nil || d.layers != model.Experts.Layers || d.experts != model.Experts.Experts {
+		a.demand = newDemand(model.Experts.Layers, model.Experts.Experts)
 	}
-	return delta
+	a.demand.observe(counts, state.Running, model.StepsPerPass)
+	return a.demand.report()
 }
 
 // leader returns the rank of the group's leader and whether it is this agent,
@@ -408,9 +404,7 @@
 	if state == nil {
 		return
 	}
-	if counts := d.Counts.Counts(); counts != nil {
-		a.lead.count(d.Rank, counts)
-	}
+	a.lead.hear(d.Rank, d.Counts.Counts(), time.Now())
 	if d.Leads != state.Group || d.Leads == "" {
 		return
 	}
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -96,7 +96,10 @@
 		return 0, errors.WithMessage(err, "prepare")
 	}
 	began := time.Now()
-	step := newestStep(states) + stepsAhead + p.Ahead + rand.Uint64N(stepsSpread)
+	step := newestStep(states) + stepsAhead + p.Ahead
+	if idle(states) {
+		step += rand.Uint64N(stepsSpread)
+	}
 	if err := hold(ctx, ranks, p, step); err != nil {
 		return time.Since(began), errors.WithMessage(err, "hold")
 	}
@@ -259,6 +262,11 @@
 	return step
 }
 
+// idle reports whether no rank has work: then the group's step stays.
+func idle(states []State) bool {
+	return !slices.ContainsFunc(states, func(s State) bool { return s.Running+s.Queued > 0 })
+}
+
 func everyRank(ranks Ranks) []int {
 	all := make([]int, ranks.Size())
 	for rank := range all {
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -60,6 +60,9 @@
 	// batchTime bounds the copies of one change: about what the rest of a switch
 	// takes. Where passes are slow, it is the passes that a switch waits for.
 	batchTime = 250 * time.Millisecond
+	// askMemory is over how many windows the leader averages what the ranks say,
+	// each of which has averaged it already.
+	askMemory = 1
 )
 
 // leader decides the group's map while this agent leads.
@@ -67,8 +70,8 @@
 	a *Agent
 
 	mu sync.Mutex
-	// pending are the counts by rank that have not gone to the estimator.
-	pending map[int][]uint32
+	// asked is what is asked of the experts at each rank.
+	asked map[int]timedAsk
 
 	// What follows belongs to run.
 	estimator *placement.Tracker
@@ -88,29 +91,39 @@
 	reason  placement.Reason
 }
 
+// timedAsk is what is asked of the experts at a rank, with its arrival.
+type timedAsk struct {
+	asked []uint32
+	at    time.Time
+}
+
 func newLeader(a *Agent) *leader {
-	return &leader{a: a, pending: make(map[int][]uint32), maps: make(map[uint64]expertmap.Map)}
+	return &leader{a: a, asked: make(map[int]timedAsk), maps: make(map[uint64]expertmap.Map)}
 }
 
-// count takes the counts of one rank.
-func (l *leader) count(rank int, counts []uint32) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if have := l.pending[rank]; len(have) == len(counts) {
-		for i, n := range counts {
-			have[i] += n
-		}
+// hear takes what is asked of the experts at one rank; nil says nothing.
+func (l *leader) hear(rank int, asked []uint32, now time.Time) {
+	if asked == nil {
 		return
 	}
-	l.pending[rank] = counts
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked[rank] = timedAsk{asked: asked, at: now}
 }
 
-func (l *leader) take() map[int][]uint32 {
+// fresh returns what the ranks said of late.
+func (l *leader) fresh(now time.Time) map[int][]uint32 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	taken := l.pending
-	l.pending = make(map[int][]uint32)
-	return taken
+	fresh := make(map[int][]uint32, len(l.asked))
+	for rank, a := range l.asked {
+		if now.Sub(a.at) > reportLimit {
+			delete(l.asked, rank)
+			continue
+		}
+		fresh[rank] = a.asked
+	}
+	return fresh
 }
 
 func (l *leader) run(ctx context.Context) {
@@ -164,7 +177,7 @@
 	if !l.begin(*state) {
 		return
 	}
-	l.observe()
+	l.observe(now)
 	if err := l.decide(ctx, *state, now); err != nil {
 		l.a.log.Warn("map not changed", "group", state.Group, "epoch", state.Epoch, "error", err.Error())
 	}
@@ -193,8 +206,7 @@
 	}
 	if l.estimator == nil || shape != l.shape {
 		l.shape = shape
-		l.estimator = placement.NewTracker(shape.Layers, shape.Experts, memory(l.a.engineModel.Load()))
-		l.take()
+		l.estimator = placement.NewTracker(shape.Layers, shape.Experts, askMemory)
 	}
 	if state.Epoch != l.epoch {
 		l.epoch, l.switched = state.Epoch, 0
@@ -203,11 +215,11 @@
 	return true
 }
 
-// observe hands the counts of a window to the estimator.
-func (l *leader) observe() {
-	for rank, counts := range l.take() {
-		if err := l.estimator.Observe(rank, counts); err != nil {
-			l.a.log.Warn("counts cannot be used", "rank", rank, "error", err.Error())
+// observe hands what is asked of the experts now to the estimator.
+func (l *leader) observe(now time.Time) {
+	for rank, asked := range l.fresh(now) {
+		if err := l.estimator.Observe(rank, asked); err != nil {
+			l.a.log.Warn("what a rank asks of the experts cannot be used", "rank", rank, "error", err.Error())
 		}
 	}
 	l.estimator.Close()
@@ -352,13 +364,6 @@
 	return time.Duration(float64(e.Layers*e.Spare) * copyOne * float64(time.Second))
 }
 
-// memory is over how many windows the estimate of the load is averaged: the
-// time for which a usual request stays and chooses the same experts.
-func memory(e *route.Engine) float64 {
-	stay := time.Duration(e.UsualAnswer) * e.Step
-	return max(stay.Seconds()/countPeriod.Seconds(), 1)
-}
-
 // worth is the part of a gain in step time that counts at a utilisation of the
 // slots, from 0 to 1: a shorter step serves callers as far as there is work for
 // it, or as a slow rank makes every step late.
