Change maps only where callers gain by it

On the grown sites, whose passes are longer, streams are late at the same utilisation.

A gain now counts from a utilisation of 0.5 (full at 0.85), or as far as the mean pass comes near the pause that callers bear, and has to be 8 in 100.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,9 +88,12 @@
 	client   *http.Client
 	// engineModel is what the configuration says of the engines.
 	engineModel atomic.Pointer[route.Engine]
-	state       atomic.Pointer[State]
-	lead        *leader
-	passes      passClock
+	// gap is the shortest of the longest pauses that callers bear between events,
+	// zero if they name none.
+	gap    atomic.Int64
+	state  atomic.Pointer[State]
+	lead   *leader
+	passes passClock
 
 	mu sync.Mutex
 	// heard is the rank of the group's leader, noRank before one was heard, and
@@ -165,10 +169,25 @@
 		s := &cfg.Services[i]
 		if s.Engine != nil && s.Engine.Experts != nil && (a.settings.Service == "" || s.Name == a.settings.Service) {
 			a.engineModel.Store(s.Engine)
+			a.gap.Store(int64(shortestGap(cfg.Routes, s.Name)))
 		}
 	}
 }
 
+// shortestGap is the shortest pause between events that a route to the service
+// allows, zero if none names one.
+func shortestGap(routes []route.Route, service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range routes {
+		r := &routes[i]
+		leads := slices.ContainsFunc(r.Split, func(s route.Share) bool { return s.Service == service })
+		if leads && r.TargetGap > 0 && (shortest == 0 || r.TargetGap < shortest) {
+			shortest = r.TargetGap
+		}
+	}
+	return shortest
+}
+
 // look watches the engine and reports its load.
 func (a *Agent) look(ctx context.Context) {
 	ticker := time.NewTicker(lookPeriod)
--- a/rankgroup/agent_test.go
+++ b/rankgroup/agent_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/placement"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
 
 // TestHoldIsLeft: a hold is ended soon once its leader is silent, later while it
@@ -54,3 +55,25 @@
 	}
 	assert.Equal(t, worth(0, []placement.Rank{{}, {Pace: slowPace}}), 1.0, "a slow rank makes each step late")
 }
+
+// TestWorthInTime: a shorter step counts as far as passes come near the longest
+// pause that callers bear.
+func TestWorthInTime(t *testing.T) {
+	const gap = 100 * time.Millisecond
+	for ms, want := range map[int]float64{0: 0, 55: 0, 80: 1, 300: 1} {
+		got := worthInTime(time.Duration(ms)*time.Millisecond, gap)
+		assert.Assert(t, got > want-1e-9 && got < want+1e-9, "%g at %d ms", got, ms)
+	}
+	half := worthInTime(67500*time.Microsecond, gap)
+	assert.Assert(t, half > 0.49 && half < 0.51, "%g", half)
+	assert.Equal(t, worthInTime(time.Second, 0), 0.0, "nobody names a pause")
+}
+
+func TestShortestGap(t *testing.T) {
+	to := func(service string, gap time.Duration) route.Route {
+		return route.Route{TargetGap: gap, Split: []route.Share{{Service: service, Weight: 1}}}
+	}
+	routes := []route.Route{to("a", 0), to("a", 120), to("a", 90), to("b", 10)}
+	assert.Equal(t, shortestGap(routes, "a"), time.Duration(90))
+	assert.Equal(t, shortestGap(routes, "c"), time.Duration(0))
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -46,8 +46,13 @@
 	// idleBusy is the utilisation of the slots up to which a shorter step serves
 	// nobody better, and fullBusy that from which each gain counts in full: the
 	// rest is left to the bursts that fill them.
-	idleBusy = 0.3
-	fullBusy = 0.7
+	idleBusy = 0.5
+	fullBusy = 0.85
+	// calmPass is the mean time of a pass, in parts of the longest pause that callers
+	// bear, up to which hardly any pass is late: the longest of a stream's thirty
+	// takes up to twice the mean. tensePass is that from which streams are late.
+	calmPass  = 0.55
+	tensePass = 0.8
 	// slowPace is the pace from which a rank counts as slow: half of the usual
 	// distance of a step from the longest pause that callers bear.
 	slowPace = 1.5
@@ -56,7 +61,7 @@
 	horizonBatches = 8
 	// leastGain is the part of the skew that a change has to take away: for the
 	// time of a switch the group cannot follow anything else.
-	leastGain = 0.04
+	leastGain = 0.08
 	// batchTime bounds the copies of one change: about what the rest of a switch
 	// takes. Where passes are slow, it is the passes that a switch waits for.
 	batchTime = 250 * time.Millisecond
@@ -252,7 +257,8 @@
 		return err
 	}
 	began := time.Now()
-	decision, err := policy(model.Experts, l.shape.Ranks, worth(busy, ranks), l.batchTime(now)).Decide(l.input(inForce, ranks, model.Experts))
+	gain := max(worth(busy, ranks), worthInTime(l.a.passes.pass(), time.Duration(l.a.gap.Load())))
+	decision, err := policy(model.Experts, l.shape.Ranks, gain, l.batchTime(now)).Decide(l.input(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
 	}
@@ -376,6 +382,15 @@
 	return min(max((busy-idleBusy)/(fullBusy-idleBusy), 0), 1)
 }
 
+// worthInTime is the part of a gain in step time that counts where the caller
+// bears a pause of gap between events, and a pass takes so long on average.
+func worthInTime(pass, gap time.Duration) float64 {
+	if gap <= 0 {
+		return 0
+	}
+	return min(max((pass.Seconds()/gap.Seconds()-calmPass)/(tensePass-calmPass), 0), 1)
+}
+
 // policy returns the placement policy at the group's own rates: what a copy
 // takes decides how far ahead a change has to pay, and what it costs. worth is
 // the part of a gain in step time that counts, batch the time for the copies of
