--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -63,8 +63,10 @@
 	// time of a switch the group cannot follow anything else.
 	leastGain = 0.08
 	// batchTime bounds the copies of one change: about what the rest of a switch
-	// takes. Where passes are slow, it is the passes that a switch waits for.
+	// takes. Where switches take longer it grows with them, up to batchMost: demand
+	// shifts every three seconds.
 	batchTime = 250 * time.Millisecond
+	batchMost = 1500 * time.Millisecond
 	// askMemory is over how many windows the leader averages what the ranks say,
 	// each of which has averaged it already.
 	askMemory = 1
@@ -319,10 +321,13 @@
 	return min(uint64(l.closed/pass), maxAhead)
 }
 
-// batchTime is the time for the copies of one change.
+// batchTime is the time for the copies of one change: where switches take long, as
+// passes are slow or orders go unanswered, there are few of them, and each has to
+// bring more.
 func (l *leader) batchTime(now time.Time) time.Duration {
 	// The pass under way may have become far longer than the last one.
-	return max(batchTime, stepsAhead*max(l.a.passes.pass(), l.a.passes.stands(now)))
+	pass := max(l.a.passes.pass(), l.a.passes.stands(now))
+	return min(max(batchTime, stepsAhead*pass, l.closed), batchMost)
 }
 
 // unstick looks for a hold that was left and ends it.
