Take a spread report once, whichever way it comes first

Cause: with two relays in a failure domain most nodes get a report twice. The second came as if it were new: what the node had sent since the first counted as reported, and loads were too low until the next report. Numbers of a random life part and a count tell copies apart.

--- a/peernews/datagram.go
+++ b/peernews/datagram.go
@@ -1,6 +1,7 @@
 package peernews
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,9 +38,12 @@
 	// Leads is the group that the sender leads, or empty, and Rank its rank.
 	Leads string
 	Rank  int
-	// Counts is how often the requests of the sender's endpoint chose each
-	// expert, by layer and expert, since the sender's last report.
-	Counts PackedCounts
+	// Asked is what the running requests of the sender's endpoint ask of each
+	// expert, by layer and expert.
+	Asked PackedCounts
+	// Number tells apart what one sender spreads, which comes by several ways; zero
+	// for what comes by one.
+	Number uint64
 }
 
 // The first byte of a datagram says who it is for.
@@ -79,7 +83,9 @@
 }
 
 // Error implements error.
-func (e *DatagramError) Error() string { return "not a peer's datagram" }
+func (e *DatagramError) Error() string {
+	return fmt.Sprintf("%d bytes that begin with %d are no datagram of a peer", e.Size, e.First)
+}
 
 // PackedCounts are counts in four bits each, so that the reports of all ranks of
 // a group fit through the link of the VM on which their leader runs. The square
--- a/peernews/datagram_test.go
+++ b/peernews/datagram_test.go
@@ -18,8 +18,8 @@
 func TestDatagramIsWhole(t *testing.T) {
 	want := Datagram{
 		From: "10.0.0.1:7000", Changed: map[string]uint64{"t": 7}, Leads: "g", Rank: 3,
-		Loads:  []Load{{Endpoint: "10.0.0.2:80", Running: 5, Queued: 2, Group: "g", Rank: 1, Open: true, Pace: 2.5, Pass: 70, Stands: 900}},
-		Counts: PackCounts([]uint32{0, 4, 9}),
+		Loads: []Load{{Endpoint: "10.0.0.2:80", Running: 5, Queued: 2, Group: "g", Rank: 1, Open: true, Pace: 2.5, Pass: 70, Stands: 900}},
+		Asked: PackCounts([]uint32{0, 4, 9}),
 	}
 	data, err := want.encode(forDomain)
 	assert.NilError(t, err)
@@ -47,7 +47,7 @@
 	for i := range counts {
 		counts[i] = rand.Uint32N(500)
 	}
-	data, err := Datagram{From: "10.0.0.1:7000", Counts: PackCounts(counts)}.encode(forOne)
+	data, err := Datagram{From: "10.0.0.1:7000", Asked: PackCounts(counts)}.encode(forOne)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data)*31*10*8 <= 8_000_000/4, "%d bytes", len(data))
 	d := Datagram{From: "10.0.0.1:7000"}
@@ -133,3 +133,19 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// TestSpreadCountsOnce: what comes by two ways counts once, nothing older than what
+// is known counts, and a process that started anew is heard.
+func TestSpreadCountsOnce(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	p := NewPeer("a:1", nil, NewRegistry("nodes", nil, Node{}, log, func([]Node) {}), nil, log, func([]Load) {})
+	const life = 1 << lifeShift
+	from := func(sender string, number uint64) bool { return p.isNew(Datagram{From: sender, Number: number}) }
+	assert.Assert(t, from("b:1", 7*life+1))
+	assert.Assert(t, !from("b:1", 7*life+1))
+	assert.Assert(t, from("b:1", 7*life+3))
+	assert.Assert(t, !from("b:1", 7*life+2))
+	assert.Assert(t, from("c:1", 7*life+2), "another sender")
+	assert.Assert(t, from("b:1", 3*life+1), "another life")
+	assert.Assert(t, from("b:1", 0) && from("b:1", 0), "came by one way")
+}
--- a/peernews/peer.go
+++ b/peernews/peer.go
@@ -34,6 +34,9 @@
 	// know. With two, a domain misses a report only if both are stopped or the
 	// datagrams to both get lost; others are drawn for the next one.
 	relays = 2
+	// lifeShift is where the random part of a datagram's number begins, which tells
+	// the lives of a process apart; below it the datagrams of one life are counted.
+	lifeShift = 32
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 16 << 10
 	// maxCopies bounds the copies that a peer sends, in bytes.
@@ -62,6 +65,10 @@
 	// ahead that peer's address.
 	behind map[string]time.Time
 	ahead  map[string]string
+	// spread is the number of the newest datagram that was spread from here, and
+	// newest, by sender, that of the newest one that came.
+	spread uint64
+	newest map[string]uint64
 }
 
 // NewPeer returns a peer that listens at address once it runs; loads is called
@@ -70,7 +77,8 @@
 	p := &Peer{
 		address: address, seeds: seeds, registry: registry, followers: make(map[string]*follow.Follower), log: log, loads: loads,
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
-		mux:    http.NewServeMux(), behind: make(map[string]time.Time), ahead: make(map[string]string),
+		mux:    http.NewServeMux(), behind: make(map[string]time.Time), ahead: make(map[string]string), newest: make(map[string]uint64),
+		spread: rand.Uint64() << lifeShift,
 	}
 	for _, f := range followers {
 		p.followers[f.Table()] = f
@@ -184,6 +192,10 @@
 // which pass it on within. So neither the sender's work nor the bytes between
 // failure domains grow with the number of nodes.
 func (p *Peer) Spread(d Datagram) {
+	p.mu.Lock()
+	p.spread++
+	d.Number = p.spread
+	p.mu.Unlock()
 	data, ok := p.encode(d, forDomain)
 	if !ok {
 		return
@@ -245,8 +257,26 @@
 		if who == forDomain {
 			p.passOn(buffer[:n])
 		}
-		p.take(d)
+		if p.isNew(d) {
+			p.take(d)
+		}
+	}
+}
+
+// isNew reports whether a datagram that was spread has not come by another way, and
+// none that is newer: an older report would hide what was sent since.
+func (p *Peer) isNew(d Datagram) bool {
+	if d.Number == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.newest[d.From]
+	if sameLife := d.Number>>lifeShift == last>>lifeShift; sameLife && d.Number <= last {
+		return false
 	}
+	p.newest[d.From] = d.Number
+	return true
 }
 
 // passOn sends a datagram to the other entry nodes of the own failure domain.
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -360,7 +360,7 @@
 		Pass: a.passes.pass().Milliseconds(), Stands: a.passes.stands(now).Milliseconds(),
 	}
 	d := peernews.Datagram{
-		From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank, Counts: peernews.PackCounts(a.asked(ctx, state)),
+		From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank, Asked: peernews.PackCounts(a.asked(ctx, state)),
 	}
 	leaderRank, leading := a.leader(state, now)
 	if leaderRank == noRank {
@@ -370,7 +370,7 @@
 	}
 	if leading {
 		a.takeLoads(d.Loads)
-		a.lead.hear(state.Rank, d.Counts.Counts(), now)
+		a.lead.hear(state.Rank, d.Asked.Counts(), now)
 		return
 	}
 	for _, n := range a.registry.Group(state.Group) {
@@ -423,7 +423,7 @@
 	if state == nil {
 		return
 	}
-	a.lead.hear(d.Rank, d.Counts.Counts(), time.Now())
+	a.lead.hear(d.Rank, d.Asked.Counts(), time.Now())
 	if d.Leads != state.Group || d.Leads == "" {
 		return
 	}
