--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -52,15 +52,19 @@
 		return
 	}
 	window := make([]float64, len(now.Counts))
+	// choices are those of the first layer: all layers have as many.
+	choices := 0.0
 	for i, n := range now.Counts {
 		if n < last.Counts[i] {
 			d.mix = nil
 			return
 		}
 		window[i] = float64(n - last.Counts[i])
+		if i < d.experts {
+			choices += window[i]
+		}
 	}
 	tokens := float64(now.Step-last.Step) * float64(stepsPerPass) * float64(before+running) / 2
-	choices := sum(window[:d.experts])
 	if tokens == 0 || choices == 0 {
 		return
 	}
@@ -87,14 +91,20 @@
 		d.mix, gain = make([]float64, len(window)), 1
 	}
 	for layer := range d.layers {
-		first, end := layer*d.experts, (layer+1)*d.experts
-		total := sum(window[first:end])
-		if total == 0 {
-			continue
-		}
-		for i := first; i < end; i++ {
-			d.mix[i] += gain * (window[i]/total - d.mix[i])
-		}
+		d.blendLayer(d.mix[layer*d.experts:][:d.experts], window[layer*d.experts:][:d.experts], gain)
+	}
+}
+
+func (d *demand) blendLayer(mix, window []float64, gain float64) {
+	total := 0.0
+	for _, n := range window {
+		total += n
+	}
+	if total == 0 {
+		return
+	}
+	for e := range mix {
+		mix[e] += gain * (window[e]/total - mix[e])
 	}
 }
 
@@ -110,11 +120,3 @@
 	}
 	return asked
 }
-
-func sum(values []float64) float64 {
-	total := 0.0
-	for _, x := range values {
-		total += x
-	}
-	return total
-}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -161,3 +162,23 @@
 	assert.Assert(t, errors.As(err, &failed))
 	assert.Equal(t, len(p.host), 0)
 }
+
+// TestDiscardResets: a connection that is given up is reset, so that the endpoint
+// learns at once that nobody waits, also where it only reads later.
+func TestDiscardResets(t *testing.T) {
+	ended := make(chan error, 1)
+	address := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		readHead(conn)
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	})
+	p := NewPool(testTiming)
+	c, err := p.Get(context.Background(), address, 2, false)
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n\r\n")
+	assert.NilError(t, err)
+	c.Discard()
+	err = <-ended
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+}
