--- a/peernews/datagram_test.go
+++ b/peernews/datagram_test.go
@@ -147,5 +147,7 @@
 	assert.Assert(t, !from("b:1", 7*life+2))
 	assert.Assert(t, from("c:1", 7*life+2), "another sender")
 	assert.Assert(t, from("b:1", 3*life+1), "another life")
-	assert.Assert(t, from("b:1", 0) && from("b:1", 0), "came by one way")
+	for range 2 {
+		assert.Assert(t, from("b:1", 0), "came by one way")
+	}
 }
