--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -13,9 +13,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
-	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
-	"github.com/cyclamenpoint/cyclamenpoint/placement"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
 
@@ -31,16 +29,6 @@
 	// comes first.
 	leaderTimeout = 700 * time.Millisecond
 	leaderStagger = 50 * time.Millisecond
-	// holdLimit is how long a group may stand before a hold, while its leader is
-	// silent, until the agent beside the gate ends it; holdLimitLed is the same
-	// while the leader is heard, which may be giving lost orders again.
-	holdLimit    = 150 * time.Millisecond
-	holdLimitLed = 700 * time.Millisecond
-	// leaderHeard is the silence from which a leader, heard every spreadPeriod,
-	// may have stopped.
-	leaderHeard = 2*spreadPeriod + 50*time.Millisecond
-	// holdLimitIdle is the same for a group that has not come to the hold.
-	holdLimitIdle = 3 * time.Second
 	// reportLimit is the age of a rank's report from which its agent may have
 	// stopped: no switch begins then.
 	reportLimit = 350 * time.Millisecond
@@ -232,115 +220,6 @@
 	a.log.Info("engine answers", "endpoint", a.settings.Endpoint)
 }
 
-// watchHold ends a hold that its leader has left.
-func (a *Agent) watchHold(ctx context.Context, state State, now time.Time) {
-	if state.Held == 0 {
-		a.heldSince = time.Time{}
-		return
-	}
-	if a.heldSince.IsZero() {
-		a.heldSince, a.standsSince = now, time.Time{}
-	}
-	if !state.stands() {
-		a.standsSince = time.Time{}
-	} else if a.standsSince.IsZero() {
-		a.standsSince = now
-	}
-	if !holdIsLeft(state, now, a.heldSince, a.standsSince, a.leaderSpoke()) || !a.beginRecovery() {
-		return
-	}
-	go func() {
-		defer a.endRecovery()
-		// The failure is logged; the next look tries again.
-		_ = a.endHold(ctx, state)
-	}()
-}
-
-// endHold ends the hold at the engine beside this agent.
-func (a *Agent) endHold(ctx context.Context, state State) error {
-	group, err := a.group(state)
-	if err == nil {
-		err = a.recover(ctx, group, state)
-	}
-	if err != nil {
-		a.log.Warn("hold that was left is still in place", "group", state.Group, "step", state.Held, "error", err.Error())
-		return err
-	}
-	metric.Holds.Inc()
-	a.log.Info("hold that was left has ended", "group", state.Group, "epoch", state.Epoch, "step", state.Held)
-	return nil
-}
-
-// endAnswer is an agent's answer to a leader that gave a switch up.
-type endAnswer struct {
-	Failure string `json:"failure,omitempty"`
-}
-
-// serveEnd ends a hold that the leader has given up.
-func (a *Agent) serveEnd(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), endTimeout)
-	defer cancel()
-	for !a.beginRecovery() {
-		timer := time.NewTimer(pollPeriod)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			writeJSON(w, endAnswer{Failure: ctx.Err().Error()}, a.log)
-			return
-		}
-	}
-	defer a.endRecovery()
-	state, err := a.keeper.state(ctx)
-	if err == nil && state.Held != 0 {
-		err = a.endHold(ctx, state)
-	}
-	writeJSON(w, endAnswer{Failure: errorText(err)}, a.log)
-}
-
-// leaderSpoke returns when the group's leader was heard last.
-func (a *Agent) leaderSpoke() time.Time {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.heardAt
-}
-
-// stands reports whether the group has come to the hold and has work.
-func (s State) stands() bool { return s.Held != 0 && s.Step+1 >= s.Held && s.Running+s.Queued > 0 }
-
-// holdIsLeft decides whether a hold that began at held, and stops the group
-// since stands, was left by a leader that spoke last at spoke.
-func holdIsLeft(s State, now, held, stands, spoke time.Time) bool {
-	if !s.stands() || stands.IsZero() {
-		return now.Sub(held) >= holdLimitIdle
-	}
-	if now.Sub(spoke) < leaderHeard {
-		return now.Sub(stands) >= holdLimitLed
-	}
-	return now.Sub(stands) >= holdLimit
-}
-
-func (a *Agent) recover(ctx context.Context, group *peers, state State) error {
-	known := []uint64{a.keeper.Newest(), state.Map, state.Prepared}
-	return Recover(ctx, group, Left{Gate: state.Rank, Leader: a.keeper.leading(), Version: NextVersion(known...), Shape: a.shape(state)})
-}
-
-func (a *Agent) beginRecovery() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.recovering {
-		return false
-	}
-	a.recovering = true
-	return true
-}
-
-func (a *Agent) endRecovery() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.recovering = false
-}
-
 // shape returns the shape of the group's maps, with the slots for loads.
 func (a *Agent) shape(state State) expertmap.Shape {
 	model := a.engineModel.Load()
@@ -351,56 +230,6 @@
 	return expertmap.Shape{Layers: e.Layers, Experts: e.Experts, Ranks: state.Size, Slots: e.Slots + e.Spare}
 }
 
-// report sends the engine's load, and what is asked of the experts, to the group's
-// leader.
-func (a *Agent) report(ctx context.Context, state State, now time.Time) {
-	load := peernews.Load{
-		Endpoint: a.settings.Endpoint, Running: state.Running, Queued: state.Queued,
-		Group: state.Group, Rank: state.Rank, Open: state.Open, Pace: float32(state.Pace),
-		Pass: a.passes.pass().Milliseconds(), Stands: a.passes.stands(now).Milliseconds(),
-	}
-	d := peernews.Datagram{
-		From: a.settings.Peers, Loads: []peernews.Load{load}, Rank: state.Rank, Asked: peernews.PackCounts(a.asked(ctx, state)),
-	}
-	leaderRank, leading := a.leader(state, now)
-	if leaderRank == noRank {
-		// Nobody gathers the group's loads yet.
-		a.news.Spread(peernews.Datagram{From: d.From, Loads: d.Loads})
-		return
-	}
-	if leading {
-		a.takeLoads(d.Loads)
-		a.lead.hear(state.Rank, d.Asked.Counts(), now)
-		return
-	}
-	for _, n := range a.registry.Group(state.Group) {
-		if n.Rank == leaderRank && n.Address != a.settings.Peers {
-			a.news.Send(n.Address, d)
-		}
-	}
-}
-
-// asked returns what the engine's running requests ask of each expert, by layer
-// and expert, or nil while that is not known.
-func (a *Agent) asked(ctx context.Context, state State) []uint32 {
-	model := a.engineModel.Load()
-	if model == nil || model.Experts == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	counts, err := a.engine.Counts(ctx)
-	if err != nil {
-		a.log.Debug("no counts", "error", err.Error())
-		return nil
-	}
-	if d := a.demand; d == nil || d.layers != model.Experts.Layers || d.experts != model.Experts.Experts {
-		a.demand = newDemand(model.Experts.Layers, model.Experts.Experts)
-	}
-	a.demand.observe(counts, state.Running, model.StepsPerPass)
-	return a.demand.report()
-}
-
 // leader returns the rank of the group's leader and whether it is this agent,
 // which takes over when it hears of none.
 func (a *Agent) leader(state State, now time.Time) (rank int, leading bool) {
@@ -439,57 +268,6 @@
 	a.heard, a.heardAt = d.Rank, time.Now()
 }
 
-// takeLoads keeps the reports of the group's agents.
-func (a *Agent) takeLoads(loads []peernews.Load) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, l := range loads {
-		a.loads[l.Endpoint] = timedLoad{Load: l, at: time.Now()}
-	}
-}
-
-// freshLoads returns the reports that arrived of late.
-func (a *Agent) freshLoads(now time.Time) []peernews.Load {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	fresh := make([]peernews.Load, 0, len(a.loads))
-	for endpoint, l := range a.loads {
-		if now.Sub(l.at) > reportLimit {
-			delete(a.loads, endpoint)
-			continue
-		}
-		fresh = append(fresh, l.Load)
-	}
-	return fresh
-}
-
-// reporting returns how many ranks reported of late, and the mean utilisation of
-// the given number of slots at each.
-func (a *Agent) reporting(now time.Time, slots int) (ranks int, busy float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, l := range a.loads {
-		if now.Sub(l.at) <= reportLimit {
-			ranks++
-			busy += min(float64(l.Running+l.Queued)/float64(max(slots, 1)), 1)
-		}
-	}
-	return ranks, busy / float64(max(ranks, 1))
-}
-
-// ranks returns what the reports of late say of each rank.
-func (a *Agent) ranks(now time.Time, size int) []placement.Rank {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	ranks := make([]placement.Rank, size)
-	for _, l := range a.loads {
-		if l.Rank < size && now.Sub(l.at) <= reportLimit {
-			ranks[l.Rank].Pace = float64(l.Pace)
-		}
-	}
-	return ranks
-}
-
 // serveWant brings about what a leader wants of this engine.
 func (a *Agent) serveWant(w http.ResponseWriter, r *http.Request) {
 	var want Want
