--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Endpoint is a model engine or a worker of a plain service that announced
+// Endpoint is a model engine or an instance of a plain service that announced
 // itself.
 type Endpoint struct {
 	// ID names one incarnation, or all of one process's that keep the same name;
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,8 +32,19 @@
 	// LastEvent is the id of the last event that the caller holds of a stream.
 	LastEvent string
 	// PromptTokens and MaxAnswerTokens tell the size of a generation; zero for
-	// unknown. LikelyAnswerTokens is the caller's guess of the answer's size.
+	// unknown. LikelyAnswerTokens is the caller's guess, which may exceed the most.
 	PromptTokens, MaxAnswerTokens, LikelyAnswerTokens int
+	// Unread names the headers that only inform and could not be read; what they
+	// tell counts as unknown.
+	Unread []string
+}
+
+// answerTokens is the likely size of the answer, zero for unknown.
+func (c Caller) answerTokens() int {
+	if c.MaxAnswerTokens > 0 {
+		return min(c.LikelyAnswerTokens, c.MaxAnswerTokens)
+	}
+	return c.LikelyAnswerTokens
 }
 
 // Protocol is what callers, endpoints and the store speak.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return nil, &problem.Problem{Kind: problem.BadRequest, RequestID: caller.ID, Detail: err.Error()}
 	}
+	if len(caller.Unread) > 0 {
+		g.log.Warn("size of a request cannot be read, it counts as unknown", "request", caller.ID, "headers", caller.Unread)
+	}
 	table := g.table.Load()
 	if table == nil {
 		return nil, &problem.Problem{Kind: problem.NotReady, RequestID: caller.ID, Detail: "no configuration yet", RetryAfter: startRetryAfter}
@@ -126,7 +129,7 @@
 		ID: caller.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host,
 		Header: g.protocol.ForwardedHeaders(r.Header), Body: body, Match: match,
 		Arrived: arrived, Deadline: arrived.Add(timeFor(caller.Deadline, match.Route.Timeout)),
-		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.LikelyAnswerTokens,
+		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.answerTokens(),
 	}, nil
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease keeps leases in the table service, for whatever needs one
 // owner. Each owner gets a fencing token that only grows. No wall clocks are
-// compared between machines: a holder counts the lease from before it sent its
+// compared between VMs: a holder counts the lease from before it sent its
 // write, and an observer takes a lease over only after it has watched the same
 // record, on its own clock, for longer than the holder could believe in it.
 package lease
@@ -43,7 +43,7 @@
 	// Duration is how long an unrenewed lease lasts. Zero takes
 	// DefaultDuration.
 	Duration time.Duration
-	// Drift bounds how much faster or slower than true time a machine's clock
+	// Drift bounds how much faster or slower than true time a VM's clock
 	// may run, as a fraction. Zero takes DefaultDrift.
 	Drift float64
 	// Margin is taken off the holder's view, for the time between asking Held
--- a/picker/direct.go
+++ b/picker/direct.go
@@ -85,7 +85,7 @@
 
 // hopeless reports whether the request would surely run out of time there.
 func (w Work) hopeless(e *DirectEndpoint) bool {
-	return w.Left > 0 && time.Duration(w.Passes*float64(e.Pass)) > hopelessTimes*w.Left
+	return w.Left > 0 && w.Passes*e.Pass.Seconds() > hopelessTimes*w.Left.Seconds()
 }
 
 // Choice is the outcome of Direct.Choose.
--- a/picker/direct_test.go
+++ b/picker/direct_test.go
@@ -248,6 +248,9 @@
 	}
 	assert.Equal(t, DefaultDirect.Choose([]DirectEndpoint{late, full, hopeless}, work, rng).Index, 0)
 	assert.DeepEqual(t, DefaultDirect.Choose([]DirectEndpoint{full, hopeless}, work, rng), Choice{Index: -1, Usable: 2, Full: 1, Slow: 1})
+	absurd := work
+	absurd.Passes = 1e300
+	assert.DeepEqual(t, DefaultDirect.Choose([]DirectEndpoint{inTime}, absurd, rng), Choice{Index: -1, Usable: 1, Slow: 1})
 	slow := inTime
 	slow.Pace = 9
 	taken := 0
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -1,11 +1,19 @@
 package rankgroup
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/peernews"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
@@ -58,3 +66,88 @@
 	assert.DeepEqual(t, a.lead.fresh(now), map[int][]uint32{0: {2}})
 	assert.Equal(t, len(a.lead.fresh(now.Add(2*reportLimit))), 0)
 }
+
+// TestPolicyOfInstantCopies: copies that take no time divide nothing by zero.
+func TestPolicyOfInstantCopies(t *testing.T) {
+	e := quickCopies()
+	e.ExpertBytes = 1
+	p := policy(e, 8, 1, batchTime)
+	assert.Assert(t, p.LoadsBatch >= 1 && p.Objective.Move >= 0)
+}
+
+// fixedNodes is a store whose tables hold the given processes and never change.
+type fixedNodes []peernews.Node
+
+func (f fixedNodes) Read(context.Context, string) (follow.Copy, error) {
+	c := follow.Copy{Rows: make(map[string]follow.Row), AsOf: 1, Changed: 1}
+	for _, n := range f {
+		value, err := json.Marshal(n)
+		if err != nil {
+			return c, err
+		}
+		c.Rows[n.Name] = follow.Row{Value: value, Version: 1}
+	}
+	return c, nil
+}
+
+func (f fixedNodes) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]follow.Change, uint64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+func (f fixedNodes) Put(context.Context, string, string, []byte) error { return nil }
+
+// TestLeaderTellsRanksFirst: what fills a link must not make the ranks lose their
+// leader, so each hears of it before the first load goes to an entry node.
+func TestLeaderTellsRanksFirst(t *testing.T) {
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer socket.Close()
+	here := socket.LocalAddr().String()
+	own, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := own.Addr().String()
+	assert.NilError(t, own.Close())
+	// All of them are at one socket, which keeps the order.
+	nodes := fixedNodes{
+		{Name: "a-entry", Kind: peernews.KindEntry, Address: here, FailureDomain: "x"},
+		{Name: "b-rank", Kind: peernews.KindAgent, Address: here, Group: "the-group", Rank: 1, Size: 3},
+		{Name: "c-rank", Kind: peernews.KindAgent, Address: here, Group: "the-group", Rank: 2, Size: 3},
+		{Name: "z-entry", Kind: peernews.KindEntry, Address: here, FailureDomain: "y"},
+	}
+	a := NewAgent(Settings{Node: "own", Peers: address}, nil, nil, nodes, nil, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { a.registry.Run(ctx) })
+	running.Go(func() { a.news.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	for len(a.registry.Nodes()) < len(nodes) {
+		time.Sleep(time.Millisecond)
+	}
+	a.takeLoads([]peernews.Load{{Endpoint: "the-endpoint"}})
+	buffer := make([]byte, 16<<10)
+	// The peer listens a little later.
+	for ready := false; !ready; {
+		a.news.Send(here, peernews.Datagram{Leads: "ready"})
+		assert.NilError(t, socket.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		n, err := socket.Read(buffer)
+		ready = err == nil && bytes.Contains(buffer[:n], []byte("ready"))
+	}
+	assert.NilError(t, socket.SetReadDeadline(time.Time{}))
+	a.lead.spread(State{Group: "the-group", Rank: 0, Size: 3, Open: true}, time.Now())
+	kinds := ""
+	for strings.Count(kinds, " ") < 4 {
+		n, err := socket.Read(buffer)
+		assert.NilError(t, err)
+		switch {
+		case !bytes.Contains(buffer[:n], []byte("the-group")):
+			// News to a random peer.
+		case bytes.Contains(buffer[:n], []byte("the-endpoint")):
+			kinds += "load "
+		default:
+			kinds += "lead "
+		}
+	}
+	assert.Equal(t, kinds, "lead lead load load ")
+}
