placement, rankgroup: batches of weight loads by their time, demand without averages

The reported demand was averaged twice (0.5 and 0.63 of each window), so a map was planned for a mixture of the old and the new demand.

Change: Decide compares batches by loads per rank, each with its time to be in force, over the time until the next shift; all layers share a rank's loads. A change expects the time that recent switches took. The demand of the group is the sum of the latest reports; a decision waits while a shift is arriving. The content of former maps is dropped (it was kept for the whole epoch).

EWMAEstimator had no user left; its test of following a shift is replaced by those of groupDemand and demandEstimator.

--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -258,3 +258,7 @@
 func (d *Draft) Map() Map {
 	return Map{shape: d.m.shape, slots: slices.Clone(d.m.slots)}
 }
+
+// Layer returns the slots of all ranks in one layer, ordered by rank, then
+// slot. The caller must not change them; Set does.
+func (d *Draft) Layer(layer int) []Expert { return d.m.Layer(layer) }
--- a/placement/layer.go
+++ b/placement/layer.go
@@ -24,6 +24,9 @@
 	// maxLoadsPerLayer bounds the weight loads of a rank, zero for no bound.
 	strictLimit      bool
 	maxLoadsPerLayer int
+	// loadsLeft is the number of weight loads that each rank may still make in
+	// this decision, nil for no bound.
+	loadsLeft []int
 	// canLoad is false while the weight store is down.
 	canLoad bool
 }
@@ -118,7 +121,7 @@
 func (l *layerState) findSlot(rank int, e expertmap.Expert) (slot int, cost float64, ok bool) {
 	slot = -1
 	coldest := 0.0
-	canLoad := l.canLoad && (l.maxLoadsPerLayer == 0 || l.rankLoads(rank) < l.maxLoadsPerLayer)
+	canLoad := l.canLoad && l.mayLoad(rank)
 	for s := range l.shape.Slots {
 		i := rank*l.shape.Slots + s
 		if l.use[i] != expertmap.Empty {
@@ -140,6 +143,18 @@
 	return slot, 1, slot >= 0
 }
 
+// mayLoad reports whether the rank may load another expert of the layer.
+func (l *layerState) mayLoad(rank int) bool {
+	if l.maxLoadsPerLayer == 0 && l.loadsLeft == nil {
+		return true
+	}
+	loads := l.rankLoads(rank)
+	if l.loadsLeft != nil && loads >= l.loadsLeft[rank] {
+		return false
+	}
+	return l.maxLoadsPerLayer == 0 || loads < l.maxLoadsPerLayer
+}
+
 // rankLoads returns the number of slots of a rank that have to be loaded.
 func (l *layerState) rankLoads(rank int) int {
 	n := 0
--- a/placement/objective.go
+++ b/placement/objective.go
@@ -29,6 +29,8 @@
 	// Delay is the time until the map comes into force, at the load rate that
 	// the policy grants to the change.
 	Delay time.Duration
+	// LoadTime is the part of Delay in which weights are loaded.
+	LoadTime time.Duration
 	// Colocated is the number of replicated experts, over all layers, whose
 	// replicas are all in one failure domain. It is not part of Value.
 	Colocated int
@@ -48,6 +50,10 @@
 // changeInfo holds what terms needs besides the map.
 type changeInfo struct {
 	loads, reused int
+	// rankLoads is the largest number of loads of a rank.
+	rankLoads int
+	// withoutMove is true if the map stays as it is.
+	withoutMove bool
 	// rate is the load rate of the change, in bytes per second.
 	rate float64
 	// before is nil for the map in force.
@@ -66,8 +72,7 @@
 	t.Delay = transferTime(t.Bytes, c.rate)
 	mean := t.Skew
 	if c.before != nil {
-		loading := min(1, t.Delay.Seconds()/p.Horizon.Seconds())
-		mean = loading*c.before.Skew + (1-loading)*t.Skew
+		mean = p.meanSkew(&t, c)
 	}
 	shape := m.Shape()
 	cost := float64(c.loads) + reuseCost*float64(c.reused)
@@ -75,6 +80,33 @@
 	return t
 }
 
+// meanSkew returns the mean skew over the horizon and sets the delay of the
+// change. While weights are loaded, a step takes as long as with a higher skew.
+func (p Policy) meanSkew(t *ObjectiveTerms, c changeInfo) float64 {
+	t.LoadTime = t.Delay
+	if p.LoadTime > 0 {
+		t.LoadTime = time.Duration(c.rankLoads) * p.LoadTime
+		t.Delay = t.LoadTime + p.SwitchTime
+		if c.withoutMove {
+			t.Delay = 0
+		}
+	}
+	horizon := p.Horizon.Seconds()
+	before := min(1, t.Delay.Seconds()/horizon)
+	slowed := min(1, t.LoadTime.Seconds()/horizon) * p.LoadSlowdown
+	return (before+slowed)*c.before.Skew + (1-before)*t.Skew
+}
+
+// maxLoadsOfRank returns the largest number of weight loads of one rank.
+func maxLoadsOfRank(moves []expertmap.Move, ranks int) int {
+	loads, most := make([]int, ranks), 0
+	for _, m := range moves {
+		loads[m.Rank]++
+		most = max(most, loads[m.Rank])
+	}
+	return most
+}
+
 // transferTime returns the time to load bytes at a rate in bytes per second.
 func transferTime(bytes int64, rate float64) time.Duration {
 	if bytes == 0 || rate <= 0 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,8 +1,8 @@
 // Package placement decides which ranks of a group hold which experts. It has
 // no side effects: Policy.Decide computes a Decision from an immutable Input,
-// and the Estimator and the EWMAEstimator compute the load estimates of an
-// Input from load reports. The package reads no clock, calls no other process
-// and sends no orders to engines.
+// and the Estimator computes the load estimates of an Input from load reports.
+// The package reads no clock, calls no other process and sends no orders to
+// engines.
 //
 // A token passes through every layer, and in each layer all ranks wait for the
 // slowest one. So the time of a step is the sum over the layers of the largest
@@ -49,6 +49,17 @@
 	// all layers; zero for no bound. Ranks load concurrently, so the rank with
 	// the most loads determines when the map comes into force.
 	MaxLoadsPerRank int
+	// LoadTime is the time of one weight load at a rank, for groups whose ranks
+	// load concurrently, each at its own rate. If it is set, it replaces the
+	// rate of the weight store: Decide compares batches with different numbers
+	// of loads per rank, up to MaxLoadsPerRank, by the mean skew over Horizon.
+	LoadTime time.Duration
+	// SwitchTime is the time from the last weight load until the map is in
+	// force. It is used with LoadTime.
+	SwitchTime time.Duration
+	// LoadSlowdown is the relative increase of the step time while weights are
+	// loaded. It is used with LoadTime.
+	LoadSlowdown float64
 }
 
 // Defaults of a Policy.
@@ -163,9 +174,13 @@
 		return Decision{}, err
 	}
 	reason := s.reason()
-	if reason == ReasonRebalance || reason == ReasonStoreDown {
-		s.rebalance()
+	if reason != ReasonRebalance && reason != ReasonStoreDown {
+		return s.decision(reason)
 	}
+	if p.LoadTime > 0 && p.MaxLoadsPerRank > 0 {
+		return s.bestBatch(reason)
+	}
+	s.rebalance()
 	return s.decision(reason)
 }
 
@@ -207,10 +222,12 @@
 	}
 	d.Before = s.policy.terms(s.base, s.in, changeInfo{})
 	d.After = s.policy.terms(d.Map, s.in, changeInfo{
-		loads:  len(moves),
-		reused: len(changes) - len(moves),
-		rate:   s.loadRate(),
-		before: &d.Before,
+		loads:       len(moves),
+		reused:      len(changes) - len(moves),
+		rankLoads:   maxLoadsOfRank(moves, s.group.shape.Ranks),
+		rate:        s.loadRate(),
+		before:      &d.Before,
+		withoutMove: !d.Change,
 	})
 	return d, nil
 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 )
@@ -37,7 +38,9 @@
 	resized bool
 	// repaired is the number of experts that had no rank.
 	repaired int
-	layer    *layerState
+	// batchLimit is the limit of weight loads per rank of the current batch.
+	batchLimit int
+	layer      *layerState
 }
 
 // plan is an improved placement of one layer.
@@ -210,6 +213,10 @@
 // inForceFraction returns the part of the horizon for which a change that uses
 // the whole budget is in force.
 func (s *search) inForceFraction(budget int) float64 {
+	if s.policy.LoadTime > 0 {
+		delay := s.policy.SwitchTime + time.Duration(s.batchLimit)*s.policy.LoadTime
+		return max(0, 1-delay.Seconds()/s.policy.Horizon.Seconds())
+	}
 	loading := transferTime(int64(budget)*s.policy.ExpertBytes, s.loadRate())
 	return max(0, 1-loading.Seconds()/s.policy.Horizon.Seconds())
 }
@@ -271,6 +278,7 @@
 	fraction := s.inForceFraction(budget)
 	hot, startLoad, _ := l.hottest()
 	startLoad /= l.meanLoad
+	start, startCost := slices.Clone(l.use), l.cost()
 	minNet := s.gainThreshold(layer, hot)
 	best := plan{layer: layer}
 	bestNet := 0.0
@@ -284,8 +292,8 @@
 		peak /= l.meanLoad
 		gain := startLoad - peak
 		cost := 0.0
-		if l.cost() > 0 {
-			cost = price * l.cost()
+		if more := l.cost() - startCost; more > 0 {
+			cost = price * more
 		}
 		if cost >= startLoad-1 || l.loads > budget {
 			break
@@ -293,11 +301,11 @@
 		if net := gain*fraction - cost; minNet.isExceeded(net, cost) && net > bestNet {
 			bestNet = net
 			best.use = append(best.use[:0], l.use...)
-			best.gain, best.cost, best.loads = gain, l.cost(), l.loads
+			best.gain, best.cost, best.loads = gain, l.cost()-startCost, l.loads
 		}
 	}
 	if !best.found() {
-		l.setUse(l.base)
+		l.setUse(start)
 		_, peak, _ := l.hottest()
 		if !l.releaseSlots(peak) {
 			return plan{}, false
--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -1,5 +1,7 @@
 package rankgroup
 
+import "slices"
+
 // demandEstimator estimates the demand of an engine's running requests for each
 // expert. It uses the engine's counts of expert choices, from prefill and decode
 // together. Decoding determines the load of the next passes: a decoded token
@@ -27,9 +29,15 @@
 
 const (
 	// decodeGain is the weight of the newest window in the mix. A window has a
-	// few hundred choices of each request, and a request decodes for about
-	// twenty windows.
-	decodeGain = 0.5
+	// few hundred choices of each request, and the demand of all requests may
+	// change from one pass to the next.
+	decodeGain = 0.9
+	// changedDistance is the distance between the mix and a window with a prefill
+	// from which the demand of all requests has probably changed. A single
+	// request differs less from the others. changedGain is the weight of such a
+	// window.
+	changedDistance = 0.45
+	changedGain     = 0.8
 	// prefillRatio is the multiple of the usual number of choices above which a
 	// window counts as one with a prefill. Shorter prefills change little.
 	prefillRatio = 2.5
@@ -78,6 +86,9 @@
 	gain := decodeGain
 	if choices > prefillRatio*d.perToken*tokens {
 		gain = float64(max(running-before, 1)) / float64(max(running, 1))
+		if d.distance(window) > changedDistance {
+			gain = max(gain, changedGain)
+		}
 	}
 	d.blend(window, min(gain, 1))
 }
@@ -91,6 +102,22 @@
 	d.perToken = min(max(ratio, d.perToken*perTokenFall), d.perToken*perTokenRise)
 }
 
+// distance returns the share of the choices by which a window differs from the
+// mix, as the mean over the layers.
+func (d *demandEstimator) distance(window []float64) float64 {
+	if d.mix == nil {
+		return 0
+	}
+	different := 0.0
+	for layer := range d.layers {
+		share := slices.Clone(window[layer*d.experts:][:d.experts])
+		if normalise(share) {
+			different += shareDistance(d.mix[layer*d.experts:][:d.experts], share)
+		}
+	}
+	return different / float64(d.layers)
+}
+
 // blend moves the mix towards the mix of a window.
 func (d *demandEstimator) blend(window []float64, gain float64) {
 	if d.mix == nil {
--- a/rankgroup/demand_test.go
+++ b/rankgroup/demand_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 )
 
 // fakeEngine counts expert choices like an engine. In each pass every running
@@ -63,6 +65,16 @@
 	return mix
 }
 
+// steepMix is a mix that chooses one expert for four fifths of its choices.
+func steepMix(experts, one int) []float64 {
+	mix := make([]float64, experts)
+	for e := range mix {
+		mix[e] = 0.2 / float64(experts-1)
+	}
+	mix[one] = 0.8
+	return mix
+}
+
 // TestDemandFollowsDecode: ten requests that mostly choose expert 0 determine
 // the demand, although a prefill makes more choices. A request that begins
 // counts as one more request at once.
@@ -119,3 +131,53 @@
 	d.observe(Counts{Epoch: 1, Step: 3, Counts: []uint64{10}}, 2, 5)
 	assert.Assert(t, d.report() == nil, "another number of experts")
 }
+
+// TestDemandChangesWithPrefill guards against an estimate that follows a change of
+// all requests' demand slowly, because the windows after it contain prefills.
+func TestDemandChangesWithPrefill(t *testing.T) {
+	const experts = 8
+	f := &fakeEngine{rng: rand.New(rand.NewPCG(1, 2)), layers: 1, experts: experts, counts: Counts{Epoch: 1, Counts: make([]uint64, experts)}}
+	d := newDemandEstimator(1, experts)
+	for range 10 {
+		f.begin(steepMix(experts, 0))
+	}
+	for range 30 {
+		f.pass()
+		d.observe(f.now(), len(f.mixes), 5)
+	}
+	for i := range f.mixes {
+		f.mixes[i] = steepMix(experts, 3)
+	}
+	for range 2 {
+		f.mixes = f.mixes[:9]
+		f.begin(steepMix(experts, 3))
+		f.pass()
+		d.observe(f.now(), len(f.mixes), 5)
+	}
+	// Two thirds of the change from 0.8 to 0.03, and back.
+	assert.Assert(t, d.mix[3] > 0.54 && d.mix[0] < 0.29, "%v", d.mix)
+}
+
+// TestGroupDemand: the demand of the group is that of the latest reports. A decision
+// waits while a shift arrives, but not for long.
+func TestGroupDemand(t *testing.T) {
+	g := newGroupDemand(expertmap.Shape{Layers: 1, Experts: 2, Ranks: 3, Slots: 1})
+	assert.Equal(t, g.estimates().Windows, int64(0))
+	assert.DeepEqual(t, g.update(map[int][]uint32{0: {300, 100}, 1: {300, 100}, 2: {1}}), []int{2})
+	assert.DeepEqual(t, g.estimates().Share, []float64{0.75, 0.25})
+	assert.Assert(t, !g.shifting())
+	g.update(map[int][]uint32{0: {100, 300}, 1: {300, 100}})
+	assert.DeepEqual(t, g.estimates().Share, []float64{0.5, 0.5})
+	assert.Assert(t, g.shifting(), "half of the ranks report the new demand")
+	g.update(map[int][]uint32{0: {100, 300}, 1: {100, 300}})
+	assert.Assert(t, g.shifting())
+	g.update(map[int][]uint32{0: {100, 300}, 1: {100, 300}})
+	assert.Assert(t, !g.shifting())
+	for _, share := range []uint32{400, 0, 400} {
+		g.update(map[int][]uint32{0: {share, 400 - share}})
+	}
+	assert.Assert(t, !g.shifting(), "a demand that never settles does not block decisions")
+	g.update(map[int][]uint32{})
+	assert.DeepEqual(t, g.estimates().Share, []float64{1, 0})
+	assert.Equal(t, g.estimates().Age, int64(1))
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -39,19 +39,16 @@
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
 	maxExtraSteps   = 12
-	// minSkewReduction is the minimum part of the skew that a change has to
-	// remove. Smaller gains do not justify a switch, during which the group
-	// cannot adapt to other shifts of demand.
-	minSkewReduction = 0.08
-	// minCopyTime is the minimum time for the copies of one change, about as
-	// long as the rest of a switch. If switches take longer, the copies get more
-	// time, at most maxCopyTime, because demand shifts every three seconds.
-	minCopyTime = 250 * time.Millisecond
-	maxCopyTime = 1500 * time.Millisecond
-	// demandMemoryWindows is the number of windows over which the leader
-	// averages the reported demand. It is small because each rank has already
-	// averaged the demand that it reports.
-	demandMemoryWindows = 1
+	// minGain is the minimum part of the objective that a change has to remove.
+	// Smaller gains do not justify a switch, during which the group cannot adapt
+	// to other shifts of demand.
+	minGain = 0.03
+	// switchTimeGain is the weight of the newest switch in the mean duration of a
+	// switch, which a plan has to expect.
+	switchTimeGain = 0.3
+	// maxSwitchTime bounds that expectation, because a switch of a busy group
+	// takes longer only while orders get no answer.
+	maxSwitchTime = 2 * time.Second
 )
 
 // leader decides the group's map while this agent is the leader.
@@ -63,11 +60,12 @@
 	demands map[int]timedDemand
 
 	// The fields below are used only by run.
-	estimator *placement.EWMAEstimator
-	shape     expertmap.Shape
-	windowAt  time.Time
-	maps      map[uint64]expertmap.Map
-	epoch     uint64
+	demand   *groupDemand
+	shape    expertmap.Shape
+	windowAt time.Time
+	// maps holds the content of the map in force and of the newest one.
+	maps  map[uint64]expertmap.Map
+	epoch uint64
 	// switchedVersion is the version of the newest switch and switchedAt its
 	// time.
 	switchedVersion uint64
@@ -77,6 +75,9 @@
 	// gateClosed is the time for which recent gates were closed; it decays with
 	// each switch.
 	gateClosed time.Duration
+	// switchTime is the mean time that recent switches took beyond the loads of
+	// their weights, until the gate was released.
+	switchTime time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
 	// reason is the reason of the latest decision. A decision to keep the map is
@@ -163,14 +164,14 @@
 		return
 	}
 	if _, leading := l.agent.currentLeader(*state, now); !leading {
-		l.estimator = nil
+		l.demand = nil
 		return
 	}
 	if now.Sub(l.windowAt) < reportPeriod {
 		return
 	}
 	l.windowAt = now
-	if !l.prepareEstimator(*state) {
+	if !l.prepareDemand(*state) {
 		return
 	}
 	l.observe(now)
@@ -194,16 +195,16 @@
 	l.agent.gossip.Broadcast(d)
 }
 
-// prepareEstimator prepares the estimator for the current shape and epoch. It
+// prepareDemand prepares the estimate of the demand for the current shape and epoch. It
 // returns false while the shape of the maps is unknown.
-func (l *leader) prepareEstimator(state State) bool {
+func (l *leader) prepareDemand(state State) bool {
 	shape := l.agent.shape(state)
 	if shape.Layers == 0 {
 		return false
 	}
-	if l.estimator == nil || shape != l.shape {
+	if l.demand == nil || shape != l.shape {
 		l.shape = shape
-		l.estimator = placement.NewEWMAEstimator(shape.Layers, shape.Experts, demandMemoryWindows)
+		l.demand = newGroupDemand(shape)
 	}
 	if state.Epoch != l.epoch {
 		l.epoch, l.switchedVersion = state.Epoch, 0
@@ -212,14 +213,11 @@
 	return true
 }
 
-// observe passes the recent demands to the estimator.
+// observe updates the demand from the recent reports of the ranks.
 func (l *leader) observe(now time.Time) {
-	for rank, demand := range l.recentDemands(now) {
-		if err := l.estimator.Observe(rank, demand); err != nil {
-			l.agent.log.Warn("expert demand of a rank ignored", "rank", rank, "error", err.Error())
-		}
+	if ignored := l.demand.update(l.recentDemands(now)); len(ignored) > 0 {
+		l.agent.log.Warn("expert demand of ranks ignored, wrong number of experts", "ranks", ignored)
 	}
-	l.estimator.CloseWindow()
 }
 
 // decide runs the placement policy and puts the resulting map in force.
@@ -235,6 +233,9 @@
 	if now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
+	if l.demand.shifting() {
+		return nil
+	}
 	if !state.GroupReady || state.Armed != nil || (state.InForce != l.switchedVersion && now.Sub(l.switchedAt) < settleTimeout) {
 		return nil
 	}
@@ -250,16 +251,12 @@
 	}
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
-	decision, err := newPolicy(model.Experts, l.shape.Ranks, gain, l.copyTime(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
+	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.expectedSwitchTime(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
 	}
 	metric.Skew.Update(decision.Before.Skew)
-	if decision.Change && decision.After.Skew > decision.Before.Skew*(1-minSkewReduction) {
-		// The gain is too small: demand would shift again during the switch.
-		decision.Change = false
-	}
-	if !decision.Change {
+	if !decision.Change || !WorthSwitching(decision) {
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
 			l.agent.log.Info("map kept", "group", state.Group, "map", state.InForce, "decision", decision.String())
@@ -271,6 +268,12 @@
 	return l.applyDecision(ctx, group, state, decision, began, util)
 }
 
+// WorthSwitching reports whether a decision to change the map gains enough for a
+// switch.
+func WorthSwitching(d placement.Decision) bool {
+	return d.After.Value <= d.Before.Value*(1-minGain)
+}
+
 // applyDecision puts the map of a decision in force.
 func (l *leader) applyDecision(ctx context.Context, group *httpGroupClient, state State, d placement.Decision, decisionBegan time.Time, util float64) error {
 	began := time.Now()
@@ -295,7 +298,12 @@
 		}
 		return err
 	}
-	l.maps[plan.Version] = d.Map
+	l.recordSwitchTime(time.Since(began), d.After.LoadTime)
+	maps := map[uint64]expertmap.Map{plan.Version: d.Map}
+	if m, ok := l.maps[state.InForce]; ok {
+		maps[state.InForce] = m
+	}
+	l.maps = maps
 	l.switchedVersion, l.switchedAt = plan.Version, time.Now()
 	l.agent.log.Info("map will be in force", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "after", time.Since(began).String())
 	return nil
@@ -312,13 +320,23 @@
 	return min(uint64(l.gateClosed/pass), maxExtraSteps)
 }
 
-// copyTime returns the time for the copies of one change. If switches take long,
-// because passes are slow or orders get no answer, fewer switches are possible,
-// so each of them has to change more.
-func (l *leader) copyTime(now time.Time) time.Duration {
+// expectedSwitchTime returns the time that the next switch will take beyond the
+// loads of its weights.
+func (l *leader) expectedSwitchTime(now time.Time) time.Duration {
 	// The current pass may already have taken far longer than the last one.
 	pass := max(l.agent.passes.passTime(), l.agent.passes.passElapsed(now))
-	return min(max(minCopyTime, minStepsAhead*pass, l.gateClosed), maxCopyTime)
+	return min(max((minStepsAhead+1)*pass, l.switchTime, l.gateClosed), maxSwitchTime)
+}
+
+// recordSwitchTime updates the mean time of a switch. loads is the expected time
+// for the loads of its weights.
+func (l *leader) recordSwitchTime(took, loads time.Duration) {
+	beyond := max(took-loads, 0)
+	if l.switchTime == 0 {
+		l.switchTime = beyond
+		return
+	}
+	l.switchTime += time.Duration(switchTimeGain * float64(beyond-l.switchTime))
 }
 
 // endAbandonedHold looks for an abandoned hold and ends it.
@@ -353,7 +371,7 @@
 
 func (l *leader) placementInput(inForce expertmap.Map, ranks []placement.Rank, e *route.Experts) placement.Input {
 	return placement.Input{
-		InForce: inForce, Loaded: inForce, Ranks: ranks, Loads: l.estimator.Estimates(),
+		InForce: inForce, Loaded: inForce, Ranks: ranks, Loads: l.demand.estimates(),
 		Store: placement.WeightStore{BytesPerSecond: e.LoadBytesPerSecond * float64(l.shape.Ranks)},
 	}
 }
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -23,32 +23,40 @@
 	return &route.Experts{Layers: 6, ExpertsPerLayer: 64, SlotsPerRank: 11, SpareSlots: 4, ExpertBytes: 1000, LoadBytesPerSecond: 1e9, WorkShare: 0.85}
 }
 
-// TestPolicyRates: the horizon is longer than a switch even if copies are fast.
-// If they are slow, one change may still copy one expert.
+// TestPolicyRates: loads that take long are few, but one per rank is always
+// allowed. The horizon is longer than a change.
 func TestPolicyRates(t *testing.T) {
-	p := newPolicy(fastCopyExperts(), 8, 1, minCopyTime)
-	assert.Equal(t, p.Horizon, minHorizonCopyTimes*minCopyTime)
+	p := NewPolicy(fastCopyExperts(), 8, 1, 300*time.Millisecond)
+	assert.Equal(t, p.Horizon, planningHorizon)
+	assert.Equal(t, p.MaxLoadsPerRank, 6*4, "all spare slots")
+	assert.Equal(t, p.SwitchTime, 300*time.Millisecond)
 	slow := fastCopyExperts()
-	slow.LoadBytesPerSecond = 100
-	p = newPolicy(slow, 8, 1, minCopyTime)
+	slow.LoadBytesPerSecond = 500
+	p = NewPolicy(slow, 8, 1, 300*time.Millisecond)
 	assert.Equal(t, p.MaxLoadsPerRank, 1)
-	assert.Equal(t, p.Horizon, horizonFills*spareFillTime(slow))
-	assert.Equal(t, newPolicy(slow, 8, 0, minCopyTime).Objective.Skew, 0.0, "no gain counts")
+	assert.Equal(t, p.Horizon, horizonChanges*2300*time.Millisecond)
+	assert.Equal(t, NewPolicy(slow, 8, 0, 0).Objective.Skew, 0.0, "no gain counts")
 }
 
-// TestCopyTime: the time for the copies of one change grows with the duration
-// of a switch.
-func TestCopyTime(t *testing.T) {
+// TestExpectedSwitchTime guards against plans for a time in which no switch
+// completes: in a group of 96 ranks switches took 2 s while the plans expected
+// some ms. The expectation follows recent switches without the loads, slow passes,
+// and gates that stay closed while orders go unanswered.
+func TestExpectedSwitchTime(t *testing.T) {
 	now := time.Unix(100, 0)
 	l := newLeader(&Agent{})
-	assert.Equal(t, l.copyTime(now), minCopyTime)
-	l.gateClosed = 600 * time.Millisecond
-	assert.Equal(t, l.copyTime(now), 600*time.Millisecond, "orders go unanswered")
-	l.gateClosed = time.Minute
-	assert.Equal(t, l.copyTime(now), maxCopyTime)
-	l.gateClosed = 0
+	assert.Equal(t, l.expectedSwitchTime(now), time.Duration(0))
+	l.recordSwitchTime(900*time.Millisecond, 400*time.Millisecond)
+	assert.Equal(t, l.expectedSwitchTime(now), 500*time.Millisecond)
+	for range 20 {
+		l.recordSwitchTime(1300*time.Millisecond, 300*time.Millisecond)
+	}
+	got := l.expectedSwitchTime(now)
+	assert.Assert(t, got > 980*time.Millisecond && got <= time.Second, "%s", got)
 	l.agent.passes.observe(State{Step: 1, Running: 1}, now)
-	assert.Equal(t, l.copyTime(now.Add(400*time.Millisecond)), 800*time.Millisecond, "the current pass is slow")
+	assert.Equal(t, l.expectedSwitchTime(now.Add(500*time.Millisecond)), 1500*time.Millisecond, "the current pass is slow")
+	l.gateClosed = time.Minute
+	assert.Equal(t, l.expectedSwitchTime(now), maxSwitchTime)
 }
 
 // TestReportsExpire: the reports of the ranks count while they are recent.
@@ -73,8 +81,8 @@
 func TestPolicyOfInstantCopies(t *testing.T) {
 	e := fastCopyExperts()
 	e.ExpertBytes, e.LoadBytesPerSecond = 1, 1e12
-	p := newPolicy(e, 8, 1, minCopyTime)
-	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.Objective.Move >= 0)
+	p := NewPolicy(e, 8, 1, 0)
+	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.LoadTime > 0 && p.Objective.Move >= 0)
 }
 
 // fixedNodeStore is a store whose tables hold the given processes and never
--- a/rankgroup/rates.go
+++ b/rankgroup/rates.go
@@ -11,12 +11,16 @@
 // Parameters for the gain and the cost of a map change, at the rates of a
 // group.
 const (
-	// copySlowdown is the relative increase of the pass time while experts are
+	// loadSlowdown is the relative increase of the pass time while experts are
 	// copied, by the platform's description of its engines.
-	copySlowdown = 0.15
-	// horizonFills is the time over which a change has to pay for itself, as a
-	// multiple of the time that a rank takes to fill its spare slots.
-	horizonFills = 2
+	loadSlowdown = 0.15
+	// planningHorizon is the time over which a change has to pay for itself: the
+	// demand shifts every three to four seconds. It is at least
+	// horizonChanges times the duration of a change of one load.
+	planningHorizon = 3 * time.Second
+	horizonChanges  = 3
+	// maxBatchTime bounds the time for the weight loads of one change.
+	maxBatchTime = 1500 * time.Millisecond
 	// minUsefulUtilisation is the utilisation of the slots up to which a shorter
 	// step brings no benefit. From fullUtilisation on, a gain counts in full;
 	// the remaining slots are left for bursts.
@@ -32,16 +36,13 @@
 	// passes of a busy group take about two thirds of the target gap (70 to 80
 	// ms of 120 ms), so from this slowdown on all of them are late.
 	slowRankSlowdown = 1.5
-	// minHorizonCopyTimes is the minimum horizon, as a multiple of the time for
-	// the copies of one change. Even if copies take almost no time, the horizon
-	// has to be longer than the switch.
-	minHorizonCopyTimes = 8
 )
 
-// spareFillTime returns the time that a rank takes to fill its spare slots.
-func spareFillTime(e *route.Experts) time.Duration {
-	copyOne := float64(e.ExpertBytes) / e.LoadBytesPerSecond
-	return time.Duration(float64(e.Layers*e.SpareSlots) * copyOne * float64(time.Second))
+// loadTime returns the time in which a rank loads one expert. The lower bound
+// avoids a division by zero for loads that take almost no time.
+func loadTime(e *route.Experts) time.Duration {
+	seconds := float64(e.ExpertBytes) / e.LoadBytesPerSecond
+	return max(time.Duration(seconds*float64(time.Second)), time.Microsecond)
 }
 
 // utilisationWeight returns the weight of a gain in step time, from 0 to 1, at
@@ -66,22 +67,20 @@
 	return min(max((pass.Seconds()/gap.Seconds()-onTimePassRatio)/(latePassRatio-onTimePassRatio), 0), 1)
 }
 
-// newPolicy returns the placement policy for the rates of a group. weight is the
-// weight of a gain in step time, copyTime the time for the copies of one change.
-// The time of a single copy determines the cost of a change and the horizon over
-// which the change has to pay for itself.
-func newPolicy(e *route.Experts, ranks int, weight float64, copyTime time.Duration) placement.Policy {
-	fillTime := spareFillTime(e)
-	// The lower bound avoids a division by zero for copies that take almost no
-	// time.
-	copyOne := max(fillTime/time.Duration(max(e.Layers*e.SpareSlots, 1)), time.Microsecond)
-	horizon := max(horizonFills*fillTime, minHorizonCopyTimes*copyTime)
-	// A copy slows the whole group. All ranks copy at the same time, so their
-	// copies share this cost.
-	move := copySlowdown * copyOne.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.ExpertsPerLayer)
+// NewPolicy returns the placement policy for the rates of a group. weight is the
+// weight of a gain in step time, switchTime the time from the last weight load
+// until a new map is in force.
+func NewPolicy(e *route.Experts, ranks int, weight float64, switchTime time.Duration) placement.Policy {
+	load := loadTime(e)
+	horizon := max(planningHorizon, horizonChanges*(switchTime+load))
+	loads := min(max(int(maxBatchTime/load), 1), e.Layers*e.SpareSlots)
+	// A load slows the whole group. All ranks load at the same time, so their
+	// loads share this cost.
+	move := loadSlowdown * load.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.ExpertsPerLayer)
 	return placement.Policy{
 		Objective: deployment.Objective{Skew: e.WorkShare * weight, Move: move}, ExpertBytes: e.ExpertBytes,
-		Horizon: horizon, MaxLoadTime: copyTime, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
-		ReservedSlots: e.SpareSlots, MaxLoadsPerLayer: e.SpareSlots, MaxLoadsPerRank: max(int(copyTime/copyOne), 1),
+		Horizon: horizon, MaxLoadTime: time.Duration(loads) * load, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
+		ReservedSlots: e.SpareSlots, MaxLoadsPerLayer: e.SpareSlots, MaxLoadsPerRank: loads,
+		LoadTime: load, SwitchTime: switchTime, LoadSlowdown: loadSlowdown,
 	}
 }
