rankgroup: maps as changes, demand in turns, plans dropped when the demand shifts

Cause: with 96 ranks the leader sent 96 maps of 20 KB (16 layers, 5 slots, base64) over a link of 6 Mbit/s, 2.3 s for each switch, while each rank sent it 1.5 KB of demand ten times a second, 12 Mbit/s. A switch that had begun was completed although the demand had shifted, and only then the leader decided again.

Change: a goal carries the change against the map in force, of which agents keep the last three; one that does not have it gets the change against the static map. In large groups the ranks take turns in sending their demand. While a map is loaded the leader drops it if a fifth of the demand has shifted; it decides again at once. The experts of the map in force are read from all ranks at once, not one by one.

--- a/expertmap/errors.go
+++ b/expertmap/errors.go
@@ -92,3 +92,14 @@
 func (e *EncodingError) Error() string {
 	return fmt.Sprintf("encoded map, byte %d: %s", e.Offset, e.Reason)
 }
+
+// ChangeError is returned when an encoded change of a map is damaged.
+type ChangeError struct {
+	// Offset is the position of the damaged entry in the data, in bytes.
+	Offset int
+}
+
+// Error implements error.
+func (e *ChangeError) Error() string {
+	return fmt.Sprintf("change of an expert map is damaged at byte %d", e.Offset)
+}
--- a/internal/measure/placement/shifts/groups.go
+++ b/internal/measure/placement/shifts/groups.go
@@ -15,7 +15,7 @@
 	}
 }
 
-// Groups are groups of all sizes, with loads from 6 ms to 0.4 s an expert.
+// Groups are groups of several sizes, with loads from 6 ms to 0.4 s an expert.
 var Groups = []Group{
 	{Name: "8 ranks, 6 x 64, 50 ms", Ranks: 8, Experts: experts(6, 64, 11, 4, 580, 92000), Requests: 70, Passes: 28, Exponent: 1.5, Common: 0.65, Topics: 9, Shift: 3500 * time.Millisecond, Share: 0.65, Pass: 45 * time.Millisecond},
 	{Name: "12 ranks, 3 x 96, 400 ms", Ranks: 12, Experts: experts(3, 96, 11, 4, 2200, 44000), Requests: 100, Passes: 26, Exponent: 1.3, Common: 0.75, Topics: 9, Shift: 4 * time.Second, Share: 0.65, Pass: 40 * time.Millisecond},
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -87,6 +87,7 @@
 	state     atomic.Pointer[State]
 	lead      *leader
 	passes    passTimer
+	maps      mapCache
 
 	mu sync.Mutex
 	// leaderRank is the rank of the group's leader, noRank while there is none,
@@ -104,6 +105,7 @@
 	blockedSince time.Time
 	demand       *demandEstimator
 	reportedAt   time.Time
+	reports      int
 	engineDown   bool
 }
 
@@ -286,7 +288,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), goalTimeout)
 	defer cancel()
-	state, err := a.reconciler.Ensure(ctx, goal)
+	state := State{}
+	goal, err := a.maps.resolve(goal)
+	if err == nil {
+		state, err = a.reconciler.Ensure(ctx, goal)
+	}
 	a.log.Info("goal of the leader processed", "want", string(goal.Kind), "token", goal.Token, "map", goal.Version, "epoch", goal.Epoch,
 		"step", goal.Step, "error", errorText(err))
 	writeJSON(w, goalResponse{State: state, Failure: encodeError(err)}, a.log)
--- a/rankgroup/failure.go
+++ b/rankgroup/failure.go
@@ -57,7 +57,10 @@
 	Epoch   *EpochError   `json:"epoch,omitempty"`
 	Passed  *PassedError  `json:"passed,omitempty"`
 	Refused *RefusedError `json:"refused,omitempty"`
-	Text    string        `json:"text,omitempty"`
+	// UnknownBase is set if the change of a map could not be applied.
+	UnknownBase *UnknownBaseError `json:"unknown_base,omitempty"`
+
+	Text string `json:"text,omitempty"`
 }
 
 func encodeError(err error) *wireError {
@@ -66,7 +69,7 @@
 	}
 	e := &wireError{Text: err.Error()}
 	// A type that does not match leaves its field nil.
-	_ = errors.As(err, &e.Fenced) || errors.As(err, &e.Epoch) || errors.As(err, &e.Passed) || errors.As(err, &e.Refused)
+	_ = errors.As(err, &e.Fenced) || errors.As(err, &e.Epoch) || errors.As(err, &e.Passed) || errors.As(err, &e.Refused) || errors.As(err, &e.UnknownBase)
 	return e
 }
 
@@ -82,6 +85,17 @@
 		return e.Passed
 	case e.Refused != nil:
 		return e.Refused
+	case e.UnknownBase != nil:
+		return e.UnknownBase
 	}
 	return &GoalError{Detail: e.Text}
 }
+
+// OutdatedPlanError is returned when the demand shifted before a planned map was
+// loaded at all ranks.
+type OutdatedPlanError struct{ Version uint64 }
+
+// Error implements error.
+func (e *OutdatedPlanError) Error() string {
+	return "demand has shifted, map " + strconv.FormatUint(e.Version, 10) + " dropped before the switch"
+}
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -101,12 +101,24 @@
 //
 // closed is the time for which the gate was closed.
 func Switch(ctx context.Context, group GroupClient, p Plan) (closed time.Duration, err error) {
-	prepare := p.goal(GoalPrepared, 0)
-	prepare.Map = p.Map.Marshal()
-	states, err := ensureAll(ctx, group, allRanks(group), prepare, prepareTimeout)
+	states, err := prepare(ctx, group, p)
 	if err != nil {
-		return 0, errors.WithMessage(err, "prepare")
+		return 0, err
 	}
+	return switchPrepared(ctx, group, p, states)
+}
+
+// prepare loads the map at all ranks and returns their states. It may be
+// cancelled: until a rank is armed, the map in force stays.
+func prepare(ctx context.Context, group GroupClient, p Plan) ([]State, error) {
+	goal := p.goal(GoalPrepared, 0)
+	goal.Map = p.Map.Marshal()
+	states, err := ensureAll(ctx, group, allRanks(group), goal, prepareTimeout)
+	return states, errors.WithMessage(err, "prepare")
+}
+
+// switchPrepared is the part of Switch after prepare, which returned the states.
+func switchPrepared(ctx context.Context, group GroupClient, p Plan, states []State) (closed time.Duration, err error) {
 	began := time.Now()
 	step := latestStep(states) + minStepsAhead + p.ExtraSteps
 	if idle(states) {
--- a/rankgroup/groupdemand.go
+++ b/rankgroup/groupdemand.go
@@ -36,31 +36,55 @@
 // by layer, then expert. It returns the ranks whose demand has another size. A
 // window without demand in some layer leaves the estimate as it is.
 func (g *groupDemand) update(demands map[int][]uint32) (ignored []int) {
+	g.age++
+	total, ignored, ok := g.sum(demands)
+	if !ok {
+		return ignored
+	}
+	if g.share != nil && g.distanceTo(total) > settledDistance {
+		g.unsettled++
+	} else {
+		g.unsettled = 0
+	}
+	g.share, g.age = total, 0
+	g.windows++
+	return ignored
+}
+
+// sum returns the shares of the sum of the ranks' demands and the ranks whose demand
+// has another size. It returns false if there is no demand in some layer.
+func (g *groupDemand) sum(demands map[int][]uint32) (share []float64, ignored []int, ok bool) {
 	size := g.shape.Layers * g.shape.Experts
-	total := make([]float64, size)
+	share = make([]float64, size)
 	for rank, demand := range demands {
 		if len(demand) != size {
 			ignored = append(ignored, rank)
 			continue
 		}
 		for i, n := range demand {
-			total[i] += float64(n)
+			share[i] += float64(n)
 		}
 	}
-	g.age++
 	for layer := range g.shape.Layers {
-		if !normalise(total[layer*g.shape.Experts:][:g.shape.Experts]) {
-			return ignored
+		if !normalise(share[layer*g.shape.Experts:][:g.shape.Experts]) {
+			return nil, ignored, false
 		}
 	}
-	if g.share != nil && shareDistance(g.share, total)/float64(g.shape.Layers) > settledDistance {
-		g.unsettled++
-	} else {
-		g.unsettled = 0
+	return share, ignored, true
+}
+
+// distance returns the share of the demand, as the mean over the layers, by which
+// the sum of the ranks' demands differs from the estimate; zero if either is unknown.
+func (g *groupDemand) distance(demands map[int][]uint32) float64 {
+	share, _, ok := g.sum(demands)
+	if !ok || g.share == nil {
+		return 0
 	}
-	g.share, g.age = total, 0
-	g.windows++
-	return ignored
+	return g.distanceTo(share)
+}
+
+func (g *groupDemand) distanceTo(share []float64) float64 {
+	return shareDistance(g.share, share) / float64(g.shape.Layers)
 }
 
 // shifting reports whether a shift of demand is arriving, so that a decision had
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +43,7 @@
 	// minGain is the minimum part of the objective that a change has to remove.
 	// Smaller gains do not justify a switch, during which the group cannot adapt
 	// to other shifts of demand.
-	minGain = 0.03
+	minGain = 0.08
 	// switchTimeGain is the weight of the newest switch in the mean duration of a
 	// switch, which a plan has to expect.
 	switchTimeGain = 0.3
@@ -249,6 +250,7 @@
 	if err != nil {
 		return err
 	}
+	group.base, group.baseVersion = inForce, state.InForce
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
 	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.expectedSwitchTime(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
@@ -282,7 +284,11 @@
 		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
-	closedFor, err := Switch(ctx, group, plan)
+	states, err := l.prepareWhileCurrent(ctx, group, plan)
+	closedFor := time.Duration(0)
+	if err == nil {
+		closedFor, err = switchPrepared(ctx, group, plan, states)
+	}
 	l.gateClosed, l.lastAttemptAt = max(closedFor, l.gateClosed*closedKeepPercent/100), time.Now()
 	metric.MapChangeTime.UpdateDuration(began)
 	metric.GateClosedTime.Update(closedFor.Seconds())
@@ -309,6 +315,45 @@
 	return nil
 }
 
+const (
+	// outdatedPeriod is the time between two checks whether the demand has shifted
+	// since a plan was made.
+	outdatedPeriod = 50 * time.Millisecond
+	// outdatedDistance is the share of the demand that has to shift for a plan to
+	// be dropped. Smaller shifts leave most of its gain.
+	outdatedDistance = 0.2
+)
+
+// prepareWhileCurrent prepares the map of a plan at all ranks. It gives up with an
+// *OutdatedPlanError if the demand shifts meanwhile.
+func (l *leader) prepareWhileCurrent(ctx context.Context, group GroupClient, p Plan) ([]State, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var outdated atomic.Bool
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		ticker := time.NewTicker(outdatedPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				if l.demand.distance(l.recentDemands(now)) >= outdatedDistance {
+					outdated.Store(true)
+					cancel()
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	states, err := prepare(ctx, group, p)
+	cancel()
+	watch.Wait()
+	if err != nil && outdated.Load() {
+		return nil, &OutdatedPlanError{Version: p.Version}
+	}
+	return states, err
+}
+
 // extraSteps returns the number of passes that fit into the recorded closed
 // time, at most maxExtraSteps. It is much higher than usual while orders get no
 // answer.
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -9,10 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
@@ -85,6 +88,56 @@
 	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.LoadTime > 0 && p.Objective.Move >= 0)
 }
 
+// loadingGroup is a GroupClient whose ranks load a map until the context ends, or
+// until loaded is closed.
+type loadingGroup struct{ loaded chan struct{} }
+
+func (loadingGroup) Size() int { return 3 }
+
+func (g loadingGroup) Ensure(ctx context.Context, rank int, _ Goal) (State, error) {
+	select {
+	case <-g.loaded:
+		return State{Rank: rank}, nil
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+}
+
+func (loadingGroup) Hold(context.Context, int, Order) error { return nil }
+func (loadingGroup) EndHold(context.Context, int) error     { return nil }
+
+// TestOutdatedPlanIsDropped guards against switches to maps for a demand that has
+// shifted while they were loaded: the leader could decide again only after them. A
+// demand that stays lets the loads end.
+func TestOutdatedPlanIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeader(&Agent{})
+		l.demand = newGroupDemand(expertmap.Shape{Layers: 1, Experts: 2, Ranks: 3, Slots: 2})
+		m, err := expertmap.Static(l.demand.shape)
+		assert.NilError(t, err)
+		report := func(first uint32) {
+			for rank := range 3 {
+				l.setDemand(rank, []uint32{first, 1000 - first}, time.Now())
+			}
+		}
+		report(900)
+		l.demand.update(l.recentDemands(time.Now()))
+		group := loadingGroup{loaded: make(chan struct{})}
+		began := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { report(400) })
+		_, err = l.prepareWhileCurrent(context.Background(), group, Plan{Version: 7, Map: m})
+		var outdated *OutdatedPlanError
+		assert.Assert(t, errors.As(err, &outdated), "%v", err)
+		assert.Assert(t, time.Since(began) <= 200*time.Millisecond+outdatedPeriod)
+
+		l.demand.update(l.recentDemands(time.Now()))
+		time.AfterFunc(time.Second, func() { close(group.loaded) })
+		states, err := l.prepareWhileCurrent(context.Background(), group, Plan{Version: 8, Map: m})
+		assert.NilError(t, err)
+		assert.Equal(t, len(states), 3)
+	})
+}
+
 // fixedNodeStore is a store whose tables hold the given processes and never
 // change.
 type fixedNodeStore []gossip.Node
--- /dev/null
+++ b/rankgroup/mapcache_test.go
@@ -0,0 +1,142 @@
+package rankgroup
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+)
+
+// recordingEngine is an engine that is prepared for the map of each Prepare order.
+type recordingEngine struct {
+	mu       sync.Mutex
+	prepared expertmap.Map
+	state    State
+}
+
+func (e *recordingEngine) State(context.Context) (State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state, nil
+}
+
+func (e *recordingEngine) Counts(context.Context) (Counts, error) { return Counts{}, nil }
+
+func (e *recordingEngine) Experts(context.Context) (uint64, [][]expertmap.Expert, error) {
+	return 0, nil, errors.New("not asked for")
+}
+
+func (e *recordingEngine) Order(_ context.Context, o Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prepared, e.state.PreparedVersion = o.Map, o.Version
+	return nil
+}
+
+// TestMapsAreSentAsChanges guards against whole maps on the link of the leader's VM:
+// for 96 ranks they took more than two seconds of a 6 Mbit/s link, and the demand
+// shifted before the switch. An agent that does not have the map to which a change
+// refers, because it has restarted, gets one that it can decode.
+func TestMapsAreSentAsChanges(t *testing.T) {
+	shape := expertmap.Shape{Layers: 16, Experts: 192, Ranks: 96, Slots: 5}
+	static, err := expertmap.Static(shape)
+	assert.NilError(t, err)
+	engine := &recordingEngine{state: State{Group: "g", Epoch: 1, Size: 96, Rank: 1}}
+	newAgent := func() *Agent {
+		return &Agent{reconciler: NewReconciler(engine), log: slog.New(slog.DiscardHandler)}
+	}
+	agent := newAgent()
+	largest := int64(0)
+	server := httptest.NewServer(nil)
+	defer server.Close()
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		largest = max(largest, r.ContentLength)
+		agent.serveGoal(w, r)
+	})
+	send := func(baseVersion uint64, base expertmap.Map, version uint64, m expertmap.Map) {
+		t.Helper()
+		c := &httpGroupClient{
+			client: server.Client(), addresses: []string{"", strings.TrimPrefix(server.URL, "http://")},
+			log: agent.log, base: base, baseVersion: baseVersion,
+		}
+		largest = 0
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		state, err := c.Ensure(ctx, 1, Goal{Kind: GoalPrepared, Token: version, Epoch: 1, Version: version, Map: m.Marshal()})
+		assert.NilError(t, err)
+		assert.Equal(t, state.PreparedVersion, version)
+		assert.Assert(t, engine.prepared.Equal(m))
+	}
+	edit := func(m expertmap.Map, e expertmap.Expert) expertmap.Map {
+		draft := m.Edit()
+		for rank := range shape.Ranks {
+			// The static map gives each rank two experts of a layer.
+			draft.Set(rank%16, rank, 4, (expertmap.Expert(2*rank)+e)%192)
+		}
+		return draft.Map()
+	}
+	first := edit(static, 7)
+	send(0, expertmap.Map{}, 10, first)
+	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
+	second := edit(first, 9)
+	send(10, first, 20, second)
+	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
+	agent = newAgent()
+	engine.state.PreparedVersion = 0
+	third := edit(second, 11)
+	send(20, second, 30, third)
+	send(30, third, 40, edit(third, 12))
+	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
+}
+
+// TestMapCacheIsBounded: an agent keeps the latest maps only.
+func TestMapCacheIsBounded(t *testing.T) {
+	shape := expertmap.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3}
+	m, err := expertmap.Static(shape)
+	assert.NilError(t, err)
+	var c mapCache
+	for version := range uint64(10) {
+		c.add(version+1, m)
+		c.add(version+1, m)
+	}
+	assert.Equal(t, len(c.maps), cachedMaps)
+	_, err = c.base(10, shape)
+	assert.NilError(t, err)
+	var unknown *UnknownBaseError
+	_, err = c.base(1, shape)
+	assert.Assert(t, errors.As(err, &unknown))
+	other := shape
+	other.Ranks = 4
+	_, err = c.base(10, other)
+	assert.Assert(t, errors.As(err, &unknown), "a map of another shape is no base")
+}
+
+// TestDemandDue: in a large group the ranks take turns, so that the demand of all of
+// them fits the leader's link, and each reports within a second.
+func TestDemandDue(t *testing.T) {
+	for _, g := range []struct{ ranks, length int }{{8, 6 * 64}, {24, 16 * 96}, {96, 16 * 192}} {
+		bytes, perRank := 0, make([]int, g.ranks)
+		for report := range 10 {
+			for rank := range g.ranks {
+				if demandDue(report, rank, g.ranks, g.length) {
+					bytes += g.length / 2
+					perRank[rank]++
+				}
+			}
+		}
+		assert.Assert(t, bytes <= maxDemandRate+g.ranks*g.length/2, "%d ranks: %d bytes a second", g.ranks, bytes)
+		for rank, n := range perRank {
+			assert.Assert(t, n > 0, "rank %d of %d", rank, g.ranks)
+		}
+	}
+	assert.Assert(t, demandDue(1, 0, 8, 6*64) && demandDue(2, 0, 8, 6*64), "small groups report each time")
+}
--- a/rankgroup/peers.go
+++ b/rankgroup/peers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
@@ -41,6 +42,11 @@
 	selfRank   int
 	reconciler *Reconciler
 
+	// base is the map in force with its version, against which changes of maps are
+	// encoded; a base without a shape stands for none.
+	base        expertmap.Map
+	baseVersion uint64
+
 	mu sync.Mutex
 	// unresponsive holds the ranks whose agents did not answer.
 	unresponsive map[int]bool
@@ -101,8 +107,40 @@
 	return nil
 }
 
-// sendGoal sends a goal to the agent of a rank.
+// sendGoal sends a goal to the agent of a rank. A map is sent as its change, since
+// the whole maps of a large group fill the link of the leader's VM for seconds.
 func (c *httpGroupClient) sendGoal(ctx context.Context, rank int, goal Goal) (State, error) {
+	if goal.Kind != GoalPrepared {
+		return c.postGoal(ctx, rank, goal)
+	}
+	m, err := expertmap.Unmarshal(goal.Map)
+	if err != nil {
+		return State{}, err
+	}
+	if c.baseVersion != 0 && c.base.Shape() == m.Shape() {
+		state, err := c.postChange(ctx, rank, goal, c.baseVersion, c.base, m)
+		if !errors.As(err, new(*UnknownBaseError)) {
+			return state, err
+		}
+	}
+	static, err := expertmap.Static(m.Shape())
+	if err != nil {
+		return State{}, err
+	}
+	return c.postChange(ctx, rank, goal, 0, static, m)
+}
+
+// postChange sends a goal with the change of its map m against a base.
+func (c *httpGroupClient) postChange(ctx context.Context, rank int, goal Goal, baseVersion uint64, base, m expertmap.Map) (State, error) {
+	goal, err := goal.withChange(baseVersion, base, m)
+	if err != nil {
+		return State{}, err
+	}
+	return c.postGoal(ctx, rank, goal)
+}
+
+// postGoal sends an encoded goal to the agent of a rank.
+func (c *httpGroupClient) postGoal(ctx context.Context, rank int, goal Goal) (State, error) {
 	if goal.isQuick() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, quickTimeout)
@@ -133,16 +171,21 @@
 	if err != nil {
 		return m, err
 	}
-	draft, version := m.Edit(), uint64(0)
+	draft, responses := m.Edit(), make([]expertsResponse, len(c.addresses))
+	var calls errgroup.Group
 	for rank := range c.addresses {
-		response, err := c.experts(ctx, rank)
-		if err != nil {
-			return m, err
-		}
-		if rank > 0 && response.Version != version {
+		calls.Go(func() (err error) {
+			responses[rank], err = c.experts(ctx, rank)
+			return err
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		return m, err
+	}
+	for rank, response := range responses {
+		if version := responses[0].Version; response.Version != version {
 			return m, &MixedMapsError{First: version, Other: response.Version}
 		}
-		version = response.Version
 		if err := setExperts(draft, shape, rank, response.Experts); err != nil {
 			return m, err
 		}
--- a/rankgroup/reconciler.go
+++ b/rankgroup/reconciler.go
@@ -26,7 +26,12 @@
 	Step    uint64 `json:"step,omitempty"`
 	// Map is the map for GoalPrepared, as encoded by expertmap.
 	Map []byte `json:"map,omitempty"`
-	// Shape is the shape of the group's maps, for GoalDisarmed.
+	// Base and Change describe the map for GoalPrepared if Map is empty: its change
+	// against the map with version Base, as encoded by expertmap. Base zero is the
+	// static map of the shape.
+	Base   uint64 `json:"base,omitempty"`
+	Change []byte `json:"change,omitempty"`
+	// Shape is the shape of the group's maps, for GoalDisarmed and with Change.
 	Shape expertmap.Shape `json:"shape"`
 }
 
--- a/rankgroup/report.go
+++ b/rankgroup/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
@@ -16,8 +17,12 @@
 		Group: state.Group, Rank: state.Rank, GroupReady: state.GroupReady, Slowdown: float32(state.Slowdown),
 		PassTime: a.passes.passTime().Milliseconds(), PassElapsed: a.passes.passElapsed(now).Milliseconds(),
 	}
-	d := gossip.Datagram{
-		From: a.settings.PeerAddress, Loads: []gossip.Load{load}, Rank: state.Rank, ExpertDemand: gossip.PackCounts(a.expertDemand(ctx, state)),
+	// The demand is read in each period, so that it covers the same time at all ranks.
+	demand := a.expertDemand(ctx, state)
+	d := gossip.Datagram{From: a.settings.PeerAddress, Loads: []gossip.Load{load}, Rank: state.Rank}
+	a.reports++
+	if demandDue(a.reports, state.Rank, state.Size, len(demand)) {
+		d.ExpertDemand = gossip.PackCounts(demand)
 	}
 	leaderRank, leading := a.currentLeader(state, now)
 	if leaderRank == noRank {
@@ -37,6 +42,20 @@
 	}
 }
 
+// maxDemandRate is the rate in bytes per second at which a leader may receive the
+// demand of its ranks: a third of the link of the slowest VMs, 6 Mbit/s.
+const maxDemandRate = 250_000
+
+// demandDue reports whether a rank includes its demand for experts, a list of the
+// given length, in its report with this number. In large groups the ranks take turns.
+// Shifts of demand show at all ranks, so some ranks suffice to see them.
+func demandDue(report, rank, ranks, length int) bool {
+	perSecond := float64(time.Second) / float64(reportPeriod)
+	bytes := float64(ranks*length/2) * perSecond
+	turns := max(int(math.Ceil(bytes/maxDemandRate)), 1)
+	return (report+rank)%turns == 0
+}
+
 // expertDemand returns the demand of the engine's running requests for each
 // expert, by layer, then expert, or nil if it is unknown.
 func (a *Agent) expertDemand(ctx context.Context, state State) []uint32 {
