forward: do not cancel the last attempt of a request

Cause: an attempt that stalled at an endpoint without fresh load reports was cancelled, so that it could go on elsewhere, even when the route allowed no other attempt.

Change: the last attempt is left to the caller's deadline and to the endpoint's own connection. TestLastAttemptIsNotCancelled fails without it.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -98,10 +98,11 @@
 
 // watchStall cancels an attempt that has stalled at an endpoint that is probably
 // down, so that the request can be retried elsewhere: callers abandon a stream
-// that stalls for two seconds. It does nothing if the request must not run twice.
+// that stalls for two seconds. It does nothing if the request must not run twice, or
+// if no other attempt may follow: then the endpoint may still be about to answer.
 // The returned function ends the watch.
 func (r *requestState) watchStall(target Target, cancel func()) (stop func()) {
-	if r.req.Match.Route.Repeat != deployment.RepeatAlways {
+	if r.req.Match.Route.Repeat != deployment.RepeatAlways || r.isLastAttempt() {
 		return func() {}
 	}
 	done := make(chan struct{})
@@ -124,6 +125,9 @@
 	return func() { close(done) }
 }
 
+// isLastAttempt reports whether the route allows no attempt after the current one.
+func (r *requestState) isLastAttempt() bool { return r.sends >= r.req.Match.Route.MaxAttempts }
+
 // needsNewConnection reports whether the request needs a new connection. An idle one
 // may already be closed by the endpoint, and a request that is not repeatable could
 // not be sent again after such a failure.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -120,3 +120,23 @@
 	assert.Assert(t, problem != "")
 	assert.Equal(t, len(healthy.Runs()), 0, "a request that may run only once was sent again")
 }
+
+// TestLastAttemptIsNotCancelled guards against callers whose answer the gateway gives
+// up although nobody else may serve it: beside a full network link, load reports and
+// events were late, an endpoint counted as unresponsive, and the gateway closed the
+// stream of a request that had used up its attempts. The endpoint answered in time.
+func TestLastAttemptIsNotCancelled(t *testing.T) {
+	reset := endpoint.New("reset")
+	reset.SetFault(func(string, int) endpoint.Fault { return endpoint.ResetBeforeAnswer })
+	slow := endpoint.New("slow")
+	// The endpoint hesitates for longer than an attempt may stall.
+	slow.SetFault(func(string, int) endpoint.Fault {
+		time.Sleep(1500 * time.Millisecond)
+		return endpoint.NoFault
+	})
+	p := &orderedPicker{unresponsive: map[string]bool{"slow": true}}
+	c, problem, _ := do(t, time.Minute, p, deployment.RepeatAlways, reset, slow, endpoint.New("spare"))
+	assert.Equal(t, problem, "")
+	assert.Equal(t, c.status, http.StatusOK)
+	assert.Equal(t, strings.Count(c.body.String(), "\n\n"), 5, "all events: %s", c.body.String())
+}
