placement, rankgroup: choose batches by the late steps that they cause

Cause: after a shift passes take about as long as the target gap, and 15% longer while weights are loaded.

Change: the objective counts the share of steps above the target, by the time of a pass without skew, which the leader learns. A small batch goes first when passes are near the target, larger ones follow.

--- a/internal/measure/placement/shifts/planners.go
+++ b/internal/measure/placement/shifts/planners.go
@@ -26,7 +26,7 @@
 }
 
 func (p Current) policy(o Observation) placement.Policy {
-	return rankgroup.NewPolicy(&p.Group.Experts, p.Group.Ranks, 1, SwitchPasses*o.Pass)
+	return rankgroup.NewPolicy(&p.Group.Experts, p.Group.Ranks, 1, rankgroup.Pace{SwitchTime: SwitchPasses * o.Pass})
 }
 
 // Foreseeing is the policy of the agents with the demand of the time in which the
--- a/placement/objective.go
+++ b/placement/objective.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
@@ -10,7 +11,7 @@
 
 // ObjectiveTerms holds the terms of the objective for one map:
 //
-//	Value = Skew weight * mean skew over the horizon
+//	Value = Skew weight * (mean skew + 20 * mean share of late steps) over the horizon
 //	      + Move weight * (weight loads + Reused/4) / experts of all layers
 //
 // Until the map comes into force, after Delay, the skew of the previous map
@@ -31,6 +32,8 @@
 	Delay time.Duration
 	// LoadTime is the part of Delay in which weights are loaded.
 	LoadTime time.Duration
+	// Late is the expected share of late steps over the horizon.
+	Late float64
 	// Colocated is the number of replicated experts, over all layers, whose
 	// replicas are all in one failure domain. It is not part of Value.
 	Colocated int
@@ -71,30 +74,63 @@
 	}
 	t.Delay = transferTime(t.Bytes, c.rate)
 	mean := t.Skew
+	t.Late = p.lateShare(t.Skew)
 	if c.before != nil {
 		mean = p.meanSkew(&t, c)
 	}
 	shape := m.Shape()
 	cost := float64(c.loads) + reuseCost*float64(c.reused)
-	t.Value = p.Objective.Skew*mean + p.Objective.Move*cost/float64(shape.Layers*shape.Experts)
+	t.Value = p.Objective.Skew*(mean+lateWeight*t.Late) + p.Objective.Move*cost/float64(shape.Layers*shape.Experts)
 	return t
 }
 
-// meanSkew returns the mean skew over the horizon and sets the delay of the
-// change. While weights are loaded, a step takes as long as with a higher skew.
+const (
+	// lateWeight is the weight of late steps in units of skew. One late step makes
+	// all answers late that are being decoded.
+	lateWeight = 20
+	// lateSpread is the relative deviation of the times of steps with the same skew,
+	// which prompts of different sizes cause.
+	lateSpread = 0.06
+)
+
+// lateShare returns the expected share of late steps at a skew.
+func (p Policy) lateShare(skew float64) float64 {
+	if p.TargetStep <= 0 {
+		return 0
+	}
+	step := p.StepTime.Seconds() * (1 + p.SkewedPart*(skew-1))
+	return 1 / (1 + math.Exp((1-step/p.TargetStep.Seconds())/lateSpread))
+}
+
+// slowedSkew returns the skew at which a step takes as long as one with the given
+// skew while weights are loaded.
+func (p Policy) slowedSkew(skew float64) float64 {
+	if p.SkewedPart <= 0 {
+		return skew * (1 + p.LoadSlowdown)
+	}
+	step := (1 + p.SkewedPart*(skew-1)) * (1 + p.LoadSlowdown)
+	return 1 + (step-1)/p.SkewedPart
+}
+
+// meanSkew returns the mean skew over the horizon and sets the delay of the change
+// and its late steps. While weights are loaded, a step takes as long as with a higher
+// skew.
 func (p Policy) meanSkew(t *ObjectiveTerms, c changeInfo) float64 {
+	before, horizon := c.before.Skew, p.Horizon.Seconds()
 	t.LoadTime = t.Delay
 	if p.LoadTime > 0 {
 		t.LoadTime = time.Duration(c.rankLoads) * p.LoadTime
 		t.Delay = t.LoadTime + p.SwitchTime
-		if c.withoutMove {
-			t.Delay = 0
-		}
 	}
-	horizon := p.Horizon.Seconds()
-	before := min(1, t.Delay.Seconds()/horizon)
-	slowed := min(1, t.LoadTime.Seconds()/horizon) * p.LoadSlowdown
-	return (before+slowed)*c.before.Skew + (1-before)*t.Skew
+	if c.withoutMove {
+		t.Delay, t.LoadTime = 0, 0
+	}
+	loading := min(1, t.LoadTime.Seconds()/horizon)
+	waiting := min(1, t.Delay.Seconds()/horizon) - loading
+	after := 1 - loading - waiting
+	slowed := p.slowedSkew(before)
+	t.Late = loading*p.lateShare(slowed) + waiting*p.lateShare(before) + after*p.lateShare(t.Skew)
+	return loading*slowed + waiting*before + after*t.Skew
 }
 
 // maxLoadsOfRank returns the largest number of weight loads of one rank.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -60,6 +60,11 @@
 	// LoadSlowdown is the relative increase of the step time while weights are
 	// loaded. It is used with LoadTime.
 	LoadSlowdown float64
+	// StepTime is the time of a step without skew, TargetStep the time above which
+	// a step is late. SkewedPart is the part of StepTime that grows with the skew.
+	// They are used with LoadTime; without a TargetStep no step is late.
+	StepTime, TargetStep time.Duration
+	SkewedPart           float64
 }
 
 // Defaults of a Policy.
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -47,6 +47,10 @@
 	// switchTimeGain is the weight of the newest switch in the mean duration of a
 	// switch, which a plan has to expect.
 	switchTimeGain = 0.3
+	// evenPassGain is the weight of the newest window in the time of a pass without
+	// skew. It is small because the times of passes follow a shift of the skew a few
+	// windows later.
+	evenPassGain = 0.1
 	// maxSwitchTime bounds that expectation, because a switch of a busy group
 	// takes longer only while orders get no answer.
 	maxSwitchTime = 2 * time.Second
@@ -79,6 +83,8 @@
 	// switchTime is the mean time that recent switches took beyond the loads of
 	// their weights, until the gate was released.
 	switchTime time.Duration
+	// evenPass is the mean time of a pass if all ranks had the same load.
+	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
 	// reason is the reason of the latest decision. A decision to keep the map is
@@ -253,11 +259,12 @@
 	group.base, group.baseVersion = inForce, state.InForce
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
-	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.expectedSwitchTime(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
+	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
 	}
 	metric.Skew.Update(decision.Before.Skew)
+	l.recordPass(l.agent.passes.passTime(), skewFactor(model.Experts, decision.Before.Skew))
 	if !decision.Change || !WorthSwitching(decision) {
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
@@ -373,6 +380,22 @@
 	return min(max((minStepsAhead+1)*pass, l.switchTime, l.gateClosed), maxSwitchTime)
 }
 
+// pace returns the expected times of the next switch and passes.
+func (l *leader) pace(now time.Time) Pace {
+	return Pace{SwitchTime: l.expectedSwitchTime(now), Pass: l.evenPass, TargetGap: time.Duration(l.agent.targetGap.Load())}
+}
+
+// recordPass updates the time of a pass without skew from the time of recent passes,
+// which the skew made longer by a factor.
+func (l *leader) recordPass(pass time.Duration, factor float64) {
+	even := time.Duration(float64(pass) / factor)
+	if l.evenPass == 0 {
+		l.evenPass = even
+		return
+	}
+	l.evenPass += time.Duration(evenPassGain * float64(even-l.evenPass))
+}
+
 // recordSwitchTime updates the mean time of a switch. loads is the expected time
 // for the loads of its weights.
 func (l *leader) recordSwitchTime(took, loads time.Duration) {
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -29,16 +29,17 @@
 // TestPolicyRates: loads that take long are few, but one per rank is always
 // allowed. The horizon is longer than a change.
 func TestPolicyRates(t *testing.T) {
-	p := NewPolicy(fastCopyExperts(), 8, 1, 300*time.Millisecond)
+	p := NewPolicy(fastCopyExperts(), 8, 1, Pace{SwitchTime: 300 * time.Millisecond})
 	assert.Equal(t, p.Horizon, planningHorizon)
 	assert.Equal(t, p.MaxLoadsPerRank, 6*4, "all spare slots")
 	assert.Equal(t, p.SwitchTime, 300*time.Millisecond)
 	slow := fastCopyExperts()
 	slow.LoadBytesPerSecond = 500
-	p = NewPolicy(slow, 8, 1, 300*time.Millisecond)
+	p = NewPolicy(slow, 8, 1, Pace{SwitchTime: 300 * time.Millisecond, TargetGap: 120 * time.Millisecond})
+	assert.Equal(t, p.TargetStep, time.Duration(0), "the time of a pass is unknown")
 	assert.Equal(t, p.MaxLoadsPerRank, 1)
 	assert.Equal(t, p.Horizon, horizonChanges*2300*time.Millisecond)
-	assert.Equal(t, NewPolicy(slow, 8, 0, 0).Objective.Skew, 0.0, "no gain counts")
+	assert.Equal(t, NewPolicy(slow, 8, 0, Pace{}).Objective.Skew, 0.0, "no gain counts")
 }
 
 // TestExpectedSwitchTime guards against plans for a time in which no switch
@@ -84,7 +85,7 @@
 func TestPolicyOfInstantCopies(t *testing.T) {
 	e := fastCopyExperts()
 	e.ExpertBytes, e.LoadBytesPerSecond = 1, 1e12
-	p := NewPolicy(e, 8, 1, 0)
+	p := NewPolicy(e, 8, 1, Pace{})
 	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.LoadTime > 0 && p.Objective.Move >= 0)
 }
 
--- a/rankgroup/rates.go
+++ b/rankgroup/rates.go
@@ -67,12 +67,30 @@
 	return min(max((pass.Seconds()/gap.Seconds()-onTimePassRatio)/(latePassRatio-onTimePassRatio), 0), 1)
 }
 
+// Pace holds the times of a group's passes and switches.
+type Pace struct {
+	// SwitchTime is the time from the last weight load until a new map is in force.
+	SwitchTime time.Duration
+	// Pass is the time of a pass without skew, zero if it is unknown. TargetGap is
+	// the target for the pause between two events of an answer, zero for none.
+	Pass, TargetGap time.Duration
+}
+
+// skewedShare is the part of the experts' work in a pass that grows with the skew.
+// The rest is the fixed time of a token step.
+const skewedShare = 0.7
+
+// skewFactor returns the ratio of the time of a pass with the given skew to that of
+// one without.
+func skewFactor(e *route.Experts, skew float64) float64 {
+	return 1 + skewedShare*e.WorkShare*(skew-1)
+}
+
 // NewPolicy returns the placement policy for the rates of a group. weight is the
-// weight of a gain in step time, switchTime the time from the last weight load
-// until a new map is in force.
-func NewPolicy(e *route.Experts, ranks int, weight float64, switchTime time.Duration) placement.Policy {
+// weight of a gain in step time.
+func NewPolicy(e *route.Experts, ranks int, weight float64, pace Pace) placement.Policy {
 	load := loadTime(e)
-	horizon := max(planningHorizon, horizonChanges*(switchTime+load))
+	horizon := max(planningHorizon, horizonChanges*(pace.SwitchTime+load))
 	loads := min(max(int(maxBatchTime/load), 1), e.Layers*e.SpareSlots)
 	// A load slows the whole group. All ranks load at the same time, so their
 	// loads share this cost.
@@ -81,6 +99,16 @@
 		Objective: deployment.Objective{Skew: e.WorkShare * weight, Move: move}, ExpertBytes: e.ExpertBytes,
 		Horizon: horizon, MaxLoadTime: time.Duration(loads) * load, StoreShare: 1, MaxAge: placement.DefaultMaxAge,
 		ReservedSlots: e.SpareSlots, MaxLoadsPerLayer: e.SpareSlots, MaxLoadsPerRank: loads,
-		LoadTime: load, SwitchTime: switchTime, LoadSlowdown: loadSlowdown,
+		LoadTime: load, SwitchTime: pace.SwitchTime, LoadSlowdown: loadSlowdown,
+		StepTime: pace.Pass, TargetStep: pace.targetStep(), SkewedPart: skewedShare * e.WorkShare,
+	}
+}
+
+// targetStep returns the target for the time of a pass, zero while the time of a pass
+// is unknown.
+func (p Pace) targetStep() time.Duration {
+	if p.Pass <= 0 {
+		return 0
 	}
+	return p.TargetGap
 }
