rankgroup: report load and demand every 50 ms in groups of up to 32 ranks

Cause: between a shift and the decision passed up to three windows of 100 ms, one pass each; a stream is late after one late pass.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -23,8 +23,12 @@
 	// seen at once.
 	statePollPeriod = 50 * time.Millisecond
 	// reportPeriod is the time between two reports of the load and of the
-	// demand for the experts. It is one window of the load estimate.
-	reportPeriod = 100 * time.Millisecond
+	// demand for the experts. It is one window of the load estimate. In groups of
+	// more than maxFastRanks ranks it is largeReportPeriod, because the reports of
+	// all ranks share the link of the leader's VM.
+	reportPeriod      = statePollPeriod
+	largeReportPeriod = 2 * statePollPeriod
+	maxFastRanks      = 32
 	// leaderTimeout is the time without a message after which the leader counts
 	// as stopped. Each agent adds leaderTimeoutStep times its rank, so that one
 	// takes over before the others.
@@ -215,12 +219,20 @@
 	}
 	a.registry.SetRank(state.Group, state.Rank, state.Size)
 	a.watchHold(ctx, state, now)
-	if now.Sub(a.reportedAt) >= reportPeriod-statePollPeriod/2 {
+	if now.Sub(a.reportedAt) >= reportPeriodOf(state.Size)-statePollPeriod/2 {
 		a.reportedAt = now
 		a.report(ctx, state, now)
 	}
 }
 
+// reportPeriodOf returns the report period of a group with a number of ranks.
+func reportPeriodOf(ranks int) time.Duration {
+	if ranks > maxFastRanks {
+		return largeReportPeriod
+	}
+	return reportPeriod
+}
+
 func (a *Agent) logEngineDown(err error) {
 	if err != nil {
 		a.log.Warn("engine does not answer", "endpoint", a.settings.Endpoint, "error", err.Error())
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -174,7 +174,7 @@
 		l.demand = nil
 		return
 	}
-	if now.Sub(l.windowAt) < reportPeriod {
+	if now.Sub(l.windowAt) < reportPeriodOf(state.Size) {
 		return
 	}
 	l.windowAt = now
--- a/rankgroup/report.go
+++ b/rankgroup/report.go
@@ -50,7 +50,7 @@
 // given length, in its report with this number. In large groups the ranks take turns.
 // Shifts of demand show at all ranks, so some ranks suffice to see them.
 func demandDue(report, rank, ranks, length int) bool {
-	perSecond := float64(time.Second) / float64(reportPeriod)
+	perSecond := float64(time.Second) / float64(reportPeriodOf(ranks))
 	bytes := float64(ranks*length/2) * perSecond
 	turns := max(int(math.Ceil(bytes/maxDemandRate)), 1)
 	return (report+rank)%turns == 0
