gossip, rankgroup, gateway: fewer calls to the store

Cause: every process received each change of the tables with a call of its own, agents up to one a second for the list of processes and one in 5 s for the configuration.

Change: agents read the list of processes at most every 4 s and the configuration every 20 s, and copy from a peer what they need earlier, as before; gateways read endpoints at most every 0.9 s, of the 2 s in which a leaving endpoint must be known.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 	// endpointTiming batches the changes of many endpoints into one call. MinInterval
 	// must stay well below the time within which a leaving endpoint must no longer
 	// get requests.
-	endpointTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 600 * time.Millisecond, Backoff: 300 * time.Millisecond}
+	endpointTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 900 * time.Millisecond, Backoff: 300 * time.Millisecond}
 )
 
 // upstreamTimeouts are the timeouts of connections to endpoints. A live endpoint
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -59,9 +59,13 @@
 	initialReadTimeout = 500 * time.Millisecond
 )
 
-// registryTiming pauses between reads so that the rows of processes that start
-// together arrive in one read.
-var registryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond}
+// entryTiming and agentTiming pause between reads so that the rows of processes that
+// start together arrive in one read. Agents are many; what they need earlier they copy
+// from a peer.
+var (
+	entryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond}
+	agentTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 4 * time.Second, Backoff: 500 * time.Millisecond}
+)
 
 // Registry registers this process in the table of processes and follows that
 // table. It is safe for concurrent use.
@@ -84,7 +88,11 @@
 func NewRegistry(table string, store Store, self Node, log *slog.Logger, onChange func([]Node)) *Registry {
 	r := &Registry{table: table, store: store, log: log, self: self, onChange: onChange, pending: make(chan struct{}, 1)}
 	r.nodes.Store(&[]Node{})
-	r.follower = follow.New(table, store, registryTiming, log, r.update)
+	timing := agentTiming
+	if self.Kind == KindEntry {
+		timing = entryTiming
+	}
+	r.follower = follow.New(table, store, timing, log, r.update)
 	if self.Kind == KindEntry {
 		r.pending <- struct{}{}
 	}
--- a/internal/measure/placement/main.go
+++ b/internal/measure/placement/main.go
@@ -17,6 +17,7 @@
 	Large    bool   `long:"large" description:"run the days of 32 ranks, 128 experts and 60 layers"`
 	Forecast bool   `long:"forecast" description:"run days with shares that are known ahead"`
 	Outage   bool   `long:"outage" description:"run the day with an outage of the weight store"`
+	Shifts   bool   `long:"shifts" description:"run days whose demand shifts every few seconds, on groups of several sizes"`
 	Plot     string `long:"plot" description:"draw the trade-off curve into this SVG file"`
 	Workers  int    `long:"workers" default:"3" description:"simulated days to run at once"`
 }
@@ -55,6 +56,11 @@
 			return err
 		}
 	}
+	if o.Shifts {
+		if err := measureShifts(os.Stdout, o.Workers); err != nil {
+			return err
+		}
+	}
 	if o.Plot != "" {
 		return measureTradeOff(os.Stdout, o.Plot, o.Workers)
 	}
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -124,7 +124,7 @@
 
 // configTiming uses long intervals, because an agent needs only parts of the
 // configuration that hardly ever change.
-var configTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 5 * time.Second, Backoff: time.Second}
+var configTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 20 * time.Second, Backoff: time.Second}
 
 // NewAgent returns an agent that is idle until Run. dialEngine returns a client
 // of an engine on another VM, for use when the agent there does not answer.
