upstream: bound the head of a response and skipped bodies

An endpoint in trouble may send bytes without end where a head is due; http.ReadResponse reads them all into memory, and the entry node runs out of it. A rejected request's body was read until the caller's deadline.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -197,7 +197,7 @@
 	if answer.Misdirected {
 		res.verdict = Misdirected
 	}
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if err := upstream.SkipBody(resp); err != nil {
 		conn.Discard()
 		return res
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -45,9 +45,10 @@
 	return err
 }
 
-// skipBody reads and discards the body of a response to another request. A
-// response that ends only with the connection cannot be skipped.
-func skipBody(resp *http.Response) error {
+// SkipBody reads and discards the body of a response that is not for the caller. It
+// returns an error, after which the connection must be discarded, if the body is longer
+// than maxSkippedBytes or ends only with the connection.
+func SkipBody(resp *http.Response) error {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return errStale
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -124,6 +124,7 @@
 	net.Conn
 	pool    *Pool
 	address string
+	head    *headReader
 	reader  *bufio.Reader
 	// requests is the number of requests that the connection has carried.
 	requests int
@@ -148,7 +149,8 @@
 		p.unreserve(address)
 		return nil, &ConnectError{Address: address, Cause: err}
 	}
-	return &Conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headReader{conn: raw}
+	return &Conn{Conn: raw, pool: p, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // popUsableIdle removes and returns the most recently used idle connection that has
@@ -335,14 +337,16 @@
 		return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
 	}
 	for range maxStale {
+		c.head.limitHead()
 		resp, err := http.ReadResponse(c.reader, req)
+		c.head.unlimited()
 		if err != nil {
 			return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
 		}
 		if resp.StatusCode >= http.StatusOK && matches(resp) {
 			return resp, nil
 		}
-		if err := skipBody(resp); err != nil {
+		if err := SkipBody(resp); err != nil {
 			return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
 		}
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -53,6 +53,9 @@
 
 func matchAny(*http.Response) bool { return true }
 
+// matchNone treats each response as one to another request.
+func matchNone(*http.Response) bool { return false }
+
 // exchange sends one request and releases the connection.
 func exchange(t *testing.T, p *Pool, address string) *Conn {
 	c, err := p.Get(context.Background(), address, 2, false)
