--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -23,8 +23,12 @@
 	// seen at once.
 	statePollPeriod = 50 * time.Millisecond
 	// reportPeriod is the time between two reports of the load and of the
-	// demand for the experts. It is one window of the load estimate.
-	reportPeriod = 100 * time.Millisecond
+	// demand for the experts. It is one window of the load estimate. In groups of
+	// more than maxFastRanks ranks it is largeReportPeriod, because the reports of
+	// all ranks share the link of the leader's VM.
+	reportPeriod      = statePollPeriod
+	largeReportPeriod = 2 * statePollPeriod
+	maxFastRanks      = 32
 	// leaderTimeout is the time without a message after which the leader counts
 	// as stopped. Each agent adds leaderTimeoutStep times its rank, so that one
 	// takes over before the others.
@@ -87,6 +91,7 @@
 	state     atomic.Pointer[State]
 	lead      *leader
 	passes    passTimer
+	maps      mapCache
 
 	mu sync.Mutex
 	// leaderRank is the rank of the group's leader, noRank while there is none,
@@ -104,6 +109,7 @@
 	blockedSince time.Time
 	demand       *demandEstimator
 	reportedAt   time.Time
+	reports      int
 	engineDown   bool
 }
 
@@ -118,7 +124,7 @@
 
 // configTiming uses long intervals, because an agent needs only parts of the
 // configuration that hardly ever change.
-var configTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 5 * time.Second, Backoff: time.Second}
+var configTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 20 * time.Second, Backoff: time.Second}
 
 // NewAgent returns an agent that is idle until Run. dialEngine returns a client
 // of an engine on another VM, for use when the agent there does not answer.
@@ -213,12 +219,20 @@
 	}
 	a.registry.SetRank(state.Group, state.Rank, state.Size)
 	a.watchHold(ctx, state, now)
-	if now.Sub(a.reportedAt) >= reportPeriod-statePollPeriod/2 {
+	if now.Sub(a.reportedAt) >= reportPeriodOf(state.Size)-statePollPeriod/2 {
 		a.reportedAt = now
 		a.report(ctx, state, now)
 	}
 }
 
+// reportPeriodOf returns the report period of a group with a number of ranks.
+func reportPeriodOf(ranks int) time.Duration {
+	if ranks > maxFastRanks {
+		return largeReportPeriod
+	}
+	return reportPeriod
+}
+
 func (a *Agent) logEngineDown(err error) {
 	if err != nil {
 		a.log.Warn("engine does not answer", "endpoint", a.settings.Endpoint, "error", err.Error())
@@ -286,7 +300,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), goalTimeout)
 	defer cancel()
-	state, err := a.reconciler.Ensure(ctx, goal)
+	state := State{}
+	goal, err := a.maps.resolve(goal)
+	if err == nil {
+		state, err = a.reconciler.Ensure(ctx, goal)
+	}
 	a.log.Info("goal of the leader processed", "want", string(goal.Kind), "token", goal.Token, "map", goal.Version, "epoch", goal.Epoch,
 		"step", goal.Step, "error", errorText(err))
 	writeJSON(w, goalResponse{State: state, Failure: encodeError(err)}, a.log)
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,19 +40,20 @@
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
 	maxExtraSteps   = 12
-	// minSkewReduction is the minimum part of the skew that a change has to
-	// remove. Smaller gains do not justify a switch, during which the group
-	// cannot adapt to other shifts of demand.
-	minSkewReduction = 0.08
-	// minCopyTime is the minimum time for the copies of one change, about as
-	// long as the rest of a switch. If switches take longer, the copies get more
-	// time, at most maxCopyTime, because demand shifts every three seconds.
-	minCopyTime = 250 * time.Millisecond
-	maxCopyTime = 1500 * time.Millisecond
-	// demandMemoryWindows is the number of windows over which the leader
-	// averages the reported demand. It is small because each rank has already
-	// averaged the demand that it reports.
-	demandMemoryWindows = 1
+	// minGain is the minimum part of the objective that a change has to remove.
+	// Smaller gains do not justify a switch, during which the group cannot adapt
+	// to other shifts of demand.
+	minGain = 0.08
+	// switchTimeGain is the weight of the newest switch in the mean duration of a
+	// switch, which a plan has to expect.
+	switchTimeGain = 0.3
+	// evenPassGain is the weight of the newest window in the time of a pass without
+	// skew. It is small because the times of passes follow a shift of the skew a few
+	// windows later.
+	evenPassGain = 0.1
+	// maxSwitchTime bounds that expectation, because a switch of a busy group
+	// takes longer only while orders get no answer.
+	maxSwitchTime = 2 * time.Second
 )
 
 // leader decides the group's map while this agent is the leader.
@@ -63,11 +65,12 @@
 	demands map[int]timedDemand
 
 	// The fields below are used only by run.
-	estimator *placement.EWMAEstimator
-	shape     expertmap.Shape
-	windowAt  time.Time
-	maps      map[uint64]expertmap.Map
-	epoch     uint64
+	demand   *groupDemand
+	shape    expertmap.Shape
+	windowAt time.Time
+	// maps holds the content of the map in force and of the newest one.
+	maps  map[uint64]expertmap.Map
+	epoch uint64
 	// switchedVersion is the version of the newest switch and switchedAt its
 	// time.
 	switchedVersion uint64
@@ -77,6 +80,11 @@
 	// gateClosed is the time for which recent gates were closed; it decays with
 	// each switch.
 	gateClosed time.Duration
+	// switchTime is the mean time that recent switches took beyond the loads of
+	// their weights, until the gate was released.
+	switchTime time.Duration
+	// evenPass is the mean time of a pass if all ranks had the same load.
+	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
 	// reason is the reason of the latest decision. A decision to keep the map is
@@ -163,14 +171,14 @@
 		return
 	}
 	if _, leading := l.agent.currentLeader(*state, now); !leading {
-		l.estimator = nil
+		l.demand = nil
 		return
 	}
-	if now.Sub(l.windowAt) < reportPeriod {
+	if now.Sub(l.windowAt) < reportPeriodOf(state.Size) {
 		return
 	}
 	l.windowAt = now
-	if !l.prepareEstimator(*state) {
+	if !l.prepareDemand(*state) {
 		return
 	}
 	l.observe(now)
@@ -194,16 +202,16 @@
 	l.agent.gossip.Broadcast(d)
 }
 
-// prepareEstimator prepares the estimator for the current shape and epoch. It
+// prepareDemand prepares the estimate of the demand for the current shape and epoch. It
 // returns false while the shape of the maps is unknown.
-func (l *leader) prepareEstimator(state State) bool {
+func (l *leader) prepareDemand(state State) bool {
 	shape := l.agent.shape(state)
 	if shape.Layers == 0 {
 		return false
 	}
-	if l.estimator == nil || shape != l.shape {
+	if l.demand == nil || shape != l.shape {
 		l.shape = shape
-		l.estimator = placement.NewEWMAEstimator(shape.Layers, shape.Experts, demandMemoryWindows)
+		l.demand = newGroupDemand(shape)
 	}
 	if state.Epoch != l.epoch {
 		l.epoch, l.switchedVersion = state.Epoch, 0
@@ -212,14 +220,11 @@
 	return true
 }
 
-// observe passes the recent demands to the estimator.
+// observe updates the demand from the recent reports of the ranks.
 func (l *leader) observe(now time.Time) {
-	for rank, demand := range l.recentDemands(now) {
-		if err := l.estimator.Observe(rank, demand); err != nil {
-			l.agent.log.Warn("expert demand of a rank ignored", "rank", rank, "error", err.Error())
-		}
+	if ignored := l.demand.update(l.recentDemands(now)); len(ignored) > 0 {
+		l.agent.log.Warn("expert demand of ranks ignored, wrong number of experts", "ranks", ignored)
 	}
-	l.estimator.CloseWindow()
 }
 
 // decide runs the placement policy and puts the resulting map in force.
@@ -235,6 +240,9 @@
 	if now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
+	if l.demand.shifting() {
+		return nil
+	}
 	if !state.GroupReady || state.Armed != nil || (state.InForce != l.switchedVersion && now.Sub(l.switchedAt) < settleTimeout) {
 		return nil
 	}
@@ -248,18 +256,16 @@
 	if err != nil {
 		return err
 	}
+	group.base, group.baseVersion = inForce, state.InForce
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
-	decision, err := newPolicy(model.Experts, l.shape.Ranks, gain, l.copyTime(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
+	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
 	}
 	metric.Skew.Update(decision.Before.Skew)
-	if decision.Change && decision.After.Skew > decision.Before.Skew*(1-minSkewReduction) {
-		// The gain is too small: demand would shift again during the switch.
-		decision.Change = false
-	}
-	if !decision.Change {
+	l.recordPass(l.agent.passes.passTime(), skewFactor(model.Experts, decision.Before.Skew))
+	if !decision.Change || !WorthSwitching(decision) {
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
 			l.agent.log.Info("map kept", "group", state.Group, "map", state.InForce, "decision", decision.String())
@@ -271,6 +277,12 @@
 	return l.applyDecision(ctx, group, state, decision, began, util)
 }
 
+// WorthSwitching reports whether a decision to change the map gains enough for a
+// switch.
+func WorthSwitching(d placement.Decision) bool {
+	return d.After.Value <= d.Before.Value*(1-minGain)
+}
+
 // applyDecision puts the map of a decision in force.
 func (l *leader) applyDecision(ctx context.Context, group *httpGroupClient, state State, d placement.Decision, decisionBegan time.Time, util float64) error {
 	began := time.Now()
@@ -279,7 +291,11 @@
 		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
-	closedFor, err := Switch(ctx, group, plan)
+	states, err := l.prepareWhileCurrent(ctx, group, plan)
+	closedFor := time.Duration(0)
+	if err == nil {
+		closedFor, err = switchPrepared(ctx, group, plan, states)
+	}
 	l.gateClosed, l.lastAttemptAt = max(closedFor, l.gateClosed*closedKeepPercent/100), time.Now()
 	metric.MapChangeTime.UpdateDuration(began)
 	metric.GateClosedTime.Update(closedFor.Seconds())
@@ -295,12 +311,56 @@
 		}
 		return err
 	}
-	l.maps[plan.Version] = d.Map
+	l.recordSwitchTime(time.Since(began), d.After.LoadTime)
+	maps := map[uint64]expertmap.Map{plan.Version: d.Map}
+	if m, ok := l.maps[state.InForce]; ok {
+		maps[state.InForce] = m
+	}
+	l.maps = maps
 	l.switchedVersion, l.switchedAt = plan.Version, time.Now()
 	l.agent.log.Info("map will be in force", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "after", time.Since(began).String())
 	return nil
 }
 
+const (
+	// outdatedPeriod is the time between two checks whether the demand has shifted
+	// since a plan was made.
+	outdatedPeriod = 50 * time.Millisecond
+	// outdatedDistance is the share of the demand that has to shift for a plan to
+	// be dropped. Smaller shifts leave most of its gain.
+	outdatedDistance = 0.2
+)
+
+// prepareWhileCurrent prepares the map of a plan at all ranks. It gives up with an
+// *OutdatedPlanError if the demand shifts meanwhile.
+func (l *leader) prepareWhileCurrent(ctx context.Context, group GroupClient, p Plan) ([]State, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var outdated atomic.Bool
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		ticker := time.NewTicker(outdatedPeriod)
+		defer ticker.Stop()
+		for {
+			select {
+			case now := <-ticker.C:
+				if l.demand.distance(l.recentDemands(now)) >= outdatedDistance {
+					outdated.Store(true)
+					cancel()
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	states, err := prepare(ctx, group, p)
+	cancel()
+	watch.Wait()
+	if err != nil && outdated.Load() {
+		return nil, &OutdatedPlanError{Version: p.Version}
+	}
+	return states, err
+}
+
 // extraSteps returns the number of passes that fit into the recorded closed
 // time, at most maxExtraSteps. It is much higher than usual while orders get no
 // answer.
@@ -312,13 +372,39 @@
 	return min(uint64(l.gateClosed/pass), maxExtraSteps)
 }
 
-// copyTime returns the time for the copies of one change. If switches take long,
-// because passes are slow or orders get no answer, fewer switches are possible,
-// so each of them has to change more.
-func (l *leader) copyTime(now time.Time) time.Duration {
+// expectedSwitchTime returns the time that the next switch will take beyond the
+// loads of its weights.
+func (l *leader) expectedSwitchTime(now time.Time) time.Duration {
 	// The current pass may already have taken far longer than the last one.
 	pass := max(l.agent.passes.passTime(), l.agent.passes.passElapsed(now))
-	return min(max(minCopyTime, minStepsAhead*pass, l.gateClosed), maxCopyTime)
+	return min(max((minStepsAhead+1)*pass, l.switchTime, l.gateClosed), maxSwitchTime)
+}
+
+// pace returns the expected times of the next switch and passes.
+func (l *leader) pace(now time.Time) Pace {
+	return Pace{SwitchTime: l.expectedSwitchTime(now), Pass: l.evenPass, TargetGap: time.Duration(l.agent.targetGap.Load())}
+}
+
+// recordPass updates the time of a pass without skew from the time of recent passes,
+// which the skew made longer by a factor.
+func (l *leader) recordPass(pass time.Duration, factor float64) {
+	even := time.Duration(float64(pass) / factor)
+	if l.evenPass == 0 {
+		l.evenPass = even
+		return
+	}
+	l.evenPass += time.Duration(evenPassGain * float64(even-l.evenPass))
+}
+
+// recordSwitchTime updates the mean time of a switch. loads is the expected time
+// for the loads of its weights.
+func (l *leader) recordSwitchTime(took, loads time.Duration) {
+	beyond := max(took-loads, 0)
+	if l.switchTime == 0 {
+		l.switchTime = beyond
+		return
+	}
+	l.switchTime += time.Duration(switchTimeGain * float64(beyond-l.switchTime))
 }
 
 // endAbandonedHold looks for an abandoned hold and ends it.
@@ -353,7 +439,7 @@
 
 func (l *leader) placementInput(inForce expertmap.Map, ranks []placement.Rank, e *route.Experts) placement.Input {
 	return placement.Input{
-		InForce: inForce, Loaded: inForce, Ranks: ranks, Loads: l.estimator.Estimates(),
+		InForce: inForce, Loaded: inForce, Ranks: ranks, Loads: l.demand.estimates(),
 		Store: placement.WeightStore{BytesPerSecond: e.LoadBytesPerSecond * float64(l.shape.Ranks)},
 	}
 }
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -9,10 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
@@ -23,32 +26,41 @@
 	return &route.Experts{Layers: 6, ExpertsPerLayer: 64, SlotsPerRank: 11, SpareSlots: 4, ExpertBytes: 1000, LoadBytesPerSecond: 1e9, WorkShare: 0.85}
 }
 
-// TestPolicyRates: the horizon is longer than a switch even if copies are fast.
-// If they are slow, one change may still copy one expert.
+// TestPolicyRates: loads that take long are few, but one per rank is always
+// allowed. The horizon is longer than a change.
 func TestPolicyRates(t *testing.T) {
-	p := newPolicy(fastCopyExperts(), 8, 1, minCopyTime)
-	assert.Equal(t, p.Horizon, minHorizonCopyTimes*minCopyTime)
+	p := NewPolicy(fastCopyExperts(), 8, 1, Pace{SwitchTime: 300 * time.Millisecond})
+	assert.Equal(t, p.Horizon, planningHorizon)
+	assert.Equal(t, p.MaxLoadsPerRank, 6*4, "all spare slots")
+	assert.Equal(t, p.SwitchTime, 300*time.Millisecond)
 	slow := fastCopyExperts()
-	slow.LoadBytesPerSecond = 100
-	p = newPolicy(slow, 8, 1, minCopyTime)
+	slow.LoadBytesPerSecond = 500
+	p = NewPolicy(slow, 8, 1, Pace{SwitchTime: 300 * time.Millisecond, TargetGap: 120 * time.Millisecond})
+	assert.Equal(t, p.TargetStep, time.Duration(0), "the time of a pass is unknown")
 	assert.Equal(t, p.MaxLoadsPerRank, 1)
-	assert.Equal(t, p.Horizon, horizonFills*spareFillTime(slow))
-	assert.Equal(t, newPolicy(slow, 8, 0, minCopyTime).Objective.Skew, 0.0, "no gain counts")
+	assert.Equal(t, p.Horizon, horizonChanges*2300*time.Millisecond)
+	assert.Equal(t, NewPolicy(slow, 8, 0, Pace{}).Objective.Skew, 0.0, "no gain counts")
 }
 
-// TestCopyTime: the time for the copies of one change grows with the duration
-// of a switch.
-func TestCopyTime(t *testing.T) {
+// TestExpectedSwitchTime guards against plans for a time in which no switch
+// completes: in a group of 96 ranks switches took 2 s while the plans expected
+// some ms. The expectation follows recent switches without the loads, slow passes,
+// and gates that stay closed while orders go unanswered.
+func TestExpectedSwitchTime(t *testing.T) {
 	now := time.Unix(100, 0)
 	l := newLeader(&Agent{})
-	assert.Equal(t, l.copyTime(now), minCopyTime)
-	l.gateClosed = 600 * time.Millisecond
-	assert.Equal(t, l.copyTime(now), 600*time.Millisecond, "orders go unanswered")
-	l.gateClosed = time.Minute
-	assert.Equal(t, l.copyTime(now), maxCopyTime)
-	l.gateClosed = 0
+	assert.Equal(t, l.expectedSwitchTime(now), time.Duration(0))
+	l.recordSwitchTime(900*time.Millisecond, 400*time.Millisecond)
+	assert.Equal(t, l.expectedSwitchTime(now), 500*time.Millisecond)
+	for range 20 {
+		l.recordSwitchTime(1300*time.Millisecond, 300*time.Millisecond)
+	}
+	got := l.expectedSwitchTime(now)
+	assert.Assert(t, got > 980*time.Millisecond && got <= time.Second, "%s", got)
 	l.agent.passes.observe(State{Step: 1, Running: 1}, now)
-	assert.Equal(t, l.copyTime(now.Add(400*time.Millisecond)), 800*time.Millisecond, "the current pass is slow")
+	assert.Equal(t, l.expectedSwitchTime(now.Add(500*time.Millisecond)), 1500*time.Millisecond, "the current pass is slow")
+	l.gateClosed = time.Minute
+	assert.Equal(t, l.expectedSwitchTime(now), maxSwitchTime)
 }
 
 // TestReportsExpire: the reports of the ranks count while they are recent.
@@ -73,8 +85,58 @@
 func TestPolicyOfInstantCopies(t *testing.T) {
 	e := fastCopyExperts()
 	e.ExpertBytes, e.LoadBytesPerSecond = 1, 1e12
-	p := newPolicy(e, 8, 1, minCopyTime)
-	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.Objective.Move >= 0)
+	p := NewPolicy(e, 8, 1, Pace{})
+	assert.Assert(t, p.MaxLoadsPerRank >= 1 && p.LoadTime > 0 && p.Objective.Move >= 0)
+}
+
+// loadingGroup is a GroupClient whose ranks load a map until the context ends, or
+// until loaded is closed.
+type loadingGroup struct{ loaded chan struct{} }
+
+func (loadingGroup) Size() int { return 3 }
+
+func (g loadingGroup) Ensure(ctx context.Context, rank int, _ Goal) (State, error) {
+	select {
+	case <-g.loaded:
+		return State{Rank: rank}, nil
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+}
+
+func (loadingGroup) Hold(context.Context, int, Order) error { return nil }
+func (loadingGroup) EndHold(context.Context, int) error     { return nil }
+
+// TestOutdatedPlanIsDropped guards against switches to maps for a demand that has
+// shifted while they were loaded: the leader could decide again only after them. A
+// demand that stays lets the loads end.
+func TestOutdatedPlanIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLeader(&Agent{})
+		l.demand = newGroupDemand(expertmap.Shape{Layers: 1, Experts: 2, Ranks: 3, Slots: 2})
+		m, err := expertmap.Static(l.demand.shape)
+		assert.NilError(t, err)
+		report := func(first uint32) {
+			for rank := range 3 {
+				l.setDemand(rank, []uint32{first, 1000 - first}, time.Now())
+			}
+		}
+		report(900)
+		l.demand.update(l.recentDemands(time.Now()))
+		group := loadingGroup{loaded: make(chan struct{})}
+		began := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { report(400) })
+		_, err = l.prepareWhileCurrent(context.Background(), group, Plan{Version: 7, Map: m})
+		var outdated *OutdatedPlanError
+		assert.Assert(t, errors.As(err, &outdated), "%v", err)
+		assert.Assert(t, time.Since(began) <= 200*time.Millisecond+outdatedPeriod)
+
+		l.demand.update(l.recentDemands(time.Now()))
+		time.AfterFunc(time.Second, func() { close(group.loaded) })
+		states, err := l.prepareWhileCurrent(context.Background(), group, Plan{Version: 8, Map: m})
+		assert.NilError(t, err)
+		assert.Equal(t, len(states), 3)
+	})
 }
 
 // fixedNodeStore is a store whose tables hold the given processes and never
