rankgroup: changes refer to the map last sent, or to the one of a new group

Change: expertmap.InTurn is the base where no other is known, and the map last sent is the base of the next one, whether it came into force or not.

--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -107,6 +107,22 @@
 	return m, nil
 }
 
+// InTurn returns the map without replicas in which the experts are assigned to the
+// ranks in turn: in every layer rank r holds the experts r, r+Ranks, r+2*Ranks and so
+// on.
+func InTurn(shape Shape) (Map, error) {
+	m, err := New(shape)
+	if err != nil {
+		return Map{}, err
+	}
+	for layer := range shape.Layers {
+		for e := range shape.Experts {
+			m.slots[shape.index(layer, e%shape.Ranks, e/shape.Ranks)] = Expert(e)
+		}
+	}
+	return m, nil
+}
+
 // Shape returns the dimensions of m.
 func (m Map) Shape() Shape { return m.shape }
 
--- a/expertmap/map_test.go
+++ b/expertmap/map_test.go
@@ -146,3 +146,13 @@
 		assert.DeepEqual(t, m.Marshal(), b)
 	})
 }
+
+// TestInTurn: rank 1 of 3 holds every third expert, from expert 1.
+func TestInTurn(t *testing.T) {
+	m, err := InTurn(Shape{Layers: 2, Experts: 8, Ranks: 3, Slots: 4})
+	assert.NilError(t, err)
+	assert.NilError(t, m.Validate())
+	assert.DeepEqual(t, m.Rank(1, 1), []Expert{1, 4, 7, Empty})
+	_, err = InTurn(Shape{Layers: 1, Experts: 8, Ranks: 2, Slots: 3})
+	assert.Assert(t, err != nil, "the ranks cannot hold all experts")
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -71,6 +71,10 @@
 	// maps holds the content of the map in force and of the newest one.
 	maps  map[uint64]expertmap.Map
 	epoch uint64
+	// sent is the map that was last sent to the ranks, with its version. They keep it
+	// also if it has not come into force.
+	sent        expertmap.Map
+	sentVersion uint64
 	// switchedVersion is the version of the newest switch and switchedAt its
 	// time.
 	switchedVersion uint64
@@ -256,7 +260,9 @@
 	if err != nil {
 		return err
 	}
-	group.base, group.baseVersion = inForce, state.InForce
+	if group.base, group.baseVersion = l.sent, l.sentVersion; group.baseVersion == 0 {
+		group.base, group.baseVersion = inForce, state.InForce
+	}
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
 	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
@@ -291,6 +297,7 @@
 		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
+	l.sent, l.sentVersion = d.Map, plan.Version
 	states, err := l.prepareWhileCurrent(ctx, group, plan)
 	closedFor := time.Duration(0)
 	if err == nil {
--- a/rankgroup/mapcache.go
+++ b/rankgroup/mapcache.go
@@ -40,10 +40,10 @@
 }
 
 // base returns the map against which changes with the given base are encoded. Base
-// zero is the static map of the shape, which every agent knows.
+// zero is the map with which a group forms. Every agent knows it.
 func (c *mapCache) base(version uint64, shape expertmap.Shape) (expertmap.Map, error) {
 	if version == 0 {
-		return expertmap.Static(shape)
+		return expertmap.InTurn(shape)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/rankgroup/peers.go
+++ b/rankgroup/peers.go
@@ -42,8 +42,9 @@
 	selfRank   int
 	reconciler *Reconciler
 
-	// base is the map in force with its version, against which changes of maps are
-	// encoded; a base without a shape stands for none.
+	// base is the map, with its version, against which changes of maps are encoded:
+	// the latest one that the agents have probably received. A zero version stands
+	// for none.
 	base        expertmap.Map
 	baseVersion uint64
 
@@ -123,11 +124,11 @@
 			return state, err
 		}
 	}
-	static, err := expertmap.Static(m.Shape())
+	first, err := expertmap.InTurn(m.Shape())
 	if err != nil {
 		return State{}, err
 	}
-	return c.postChange(ctx, rank, goal, 0, static, m)
+	return c.postChange(ctx, rank, goal, 0, first, m)
 }
 
 // postChange sends a goal with the change of its map m against a base.
--- a/rankgroup/reconciler.go
+++ b/rankgroup/reconciler.go
@@ -27,8 +27,8 @@
 	// Map is the map for GoalPrepared, as encoded by expertmap.
 	Map []byte `json:"map,omitempty"`
 	// Base and Change describe the map for GoalPrepared if Map is empty: its change
-	// against the map with version Base, as encoded by expertmap. Base zero is the
-	// static map of the shape.
+	// against the map with version Base, as encoded by expertmap. Base zero is
+	// expertmap.InTurn, with which a group forms.
 	Base   uint64 `json:"base,omitempty"`
 	Change []byte `json:"change,omitempty"`
 	// Shape is the shape of the group's maps, for GoalDisarmed and with Change.
