placement, rankgroup: bound the processor time of a decision

Cause: the leader searched again in each window of 50 or 100 ms while it kept a map, for up to 13 ms of an agent's 0.24 core.

Change: a decision to keep the map holds for 0.2 s unless the demand shifts; a batch has at most 400 loads and takes at most 0.9 s; batches whose loads take less than a quarter of the switch are not divided further.

--- a/placement/batch.go
+++ b/placement/batch.go
@@ -3,13 +3,19 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 )
 
-// batchStep is the factor between the numbers of loads per rank of two batches
-// that are compared.
-const batchStep = 2
+const (
+	// batchStep is the factor between the numbers of loads per rank of two batches
+	// that are compared.
+	batchStep = 2
+	// shortLoadShare is the part of the switch time below which the time of a batch's
+	// loads hardly matters, so that smaller batches are not tried.
+	shortLoadShare = 0.25
+)
 
 // bestBatch returns the decision with the least objective among batches with
 // different limits of weight loads per rank. A small batch is in force sooner, a
@@ -26,8 +32,8 @@
 		if best.Reason == "" || d.After.Value < best.After.Value {
 			best = d
 		}
-		// Smaller limits find the same batch if this one did not reach its limit.
-		if limit <= 1 {
+		loading := time.Duration(limit) * s.policy.LoadTime
+		if limit <= 1 || loading.Seconds() < shortLoadShare*s.policy.SwitchTime.Seconds() {
 			break
 		}
 	}
--- a/rankgroup/demand_test.go
+++ b/rankgroup/demand_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -181,3 +182,20 @@
 	assert.DeepEqual(t, g.estimates().Share, []float64{1, 0})
 	assert.Equal(t, g.estimates().Age, int64(1))
 }
+
+// TestKeptDecision: a decision to keep the map is not made again in each window. It
+// holds for some time, for one map and one demand.
+func TestKeptDecision(t *testing.T) {
+	g := newGroupDemand(expertmap.Shape{Layers: 1, Experts: 2, Ranks: 1, Slots: 2})
+	now := time.Unix(100, 0)
+	assert.Assert(t, !keptDecision{}.holds(0, g, now), "nothing was decided yet")
+	g.update(map[int][]uint32{0: {500, 500}})
+	kept := keptDecision{version: 7, share: g.share, at: now}
+	assert.Assert(t, kept.holds(7, g, now.Add(keptPeriod/2)))
+	assert.Assert(t, !kept.holds(7, g, now.Add(keptPeriod)))
+	assert.Assert(t, !kept.holds(8, g, now), "another map is in force")
+	g.update(map[int][]uint32{0: {550, 450}})
+	assert.Assert(t, kept.holds(7, g, now))
+	g.update(map[int][]uint32{0: {700, 300}})
+	assert.Assert(t, !kept.holds(7, g, now), "the demand has shifted")
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -87,6 +87,8 @@
 	// switchTime is the mean time that recent switches took beyond the loads of
 	// their weights, until the gate was released.
 	switchTime time.Duration
+	// kept is the latest decision to keep the map.
+	kept keptDecision
 	// evenPass is the mean time of a pass if all ranks had the same load.
 	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
@@ -96,6 +98,24 @@
 	reason placement.Reason
 }
 
+// keptDecision is a decision to keep a map. It saves the processor time of the same
+// decision in each window.
+type keptDecision struct {
+	version uint64
+	share   []float64
+	at      time.Time
+}
+
+// keptPeriod is the time for which a decision to keep the map holds, unless the demand
+// shifts: the gain of a change also depends on the times of the passes.
+const keptPeriod = 200 * time.Millisecond
+
+// holds reports whether the decision would probably be the same now.
+func (k keptDecision) holds(version uint64, demand *groupDemand, now time.Time) bool {
+	return k.share != nil && len(k.share) == len(demand.share) && k.version == version && now.Sub(k.at) < keptPeriod &&
+		demand.distanceTo(k.share) <= settledDistance
+}
+
 // timedDemand is the demand for the experts at a rank, with the time of its
 // arrival.
 type timedDemand struct {
@@ -244,7 +264,7 @@
 	if now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
-	if l.demand.shifting() {
+	if l.demand.shifting() || l.kept.holds(state.InForce, l.demand, now) {
 		return nil
 	}
 	if !state.GroupReady || state.Armed != nil || (state.InForce != l.switchedVersion && now.Sub(l.switchedAt) < settleTimeout) {
@@ -272,6 +292,7 @@
 	metric.Skew.Update(decision.Before.Skew)
 	l.recordPass(l.agent.passes.passTime(), skewFactor(model.Experts, decision.Before.Skew))
 	if !decision.Change || !WorthSwitching(decision) {
+		l.kept = keptDecision{version: state.InForce, share: l.demand.share, at: now}
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
 			l.agent.log.Info("map kept", "group", state.Group, "map", state.InForce, "decision", decision.String())
--- a/rankgroup/rates.go
+++ b/rankgroup/rates.go
@@ -19,8 +19,10 @@
 	// horizonChanges times the duration of a change of one load.
 	planningHorizon = 3 * time.Second
 	horizonChanges  = 3
-	// maxBatchTime bounds the time for the weight loads of one change.
-	maxBatchTime = 1500 * time.Millisecond
+	// maxBatchTime bounds the time for the weight loads of one change, maxBatchLoads
+	// their number, which determines the processor time of a decision.
+	maxBatchTime  = 900 * time.Millisecond
+	maxBatchLoads = 400
 	// minUsefulUtilisation is the utilisation of the slots up to which a shorter
 	// step brings no benefit. From fullUtilisation on, a gain counts in full;
 	// the remaining slots are left for bursts.
@@ -91,7 +93,7 @@
 func NewPolicy(e *route.Experts, ranks int, weight float64, pace Pace) placement.Policy {
 	load := loadTime(e)
 	horizon := max(planningHorizon, horizonChanges*(pace.SwitchTime+load))
-	loads := min(max(int(maxBatchTime/load), 1), e.Layers*e.SpareSlots)
+	loads := min(max(int(maxBatchTime/load), 1), max(maxBatchLoads/ranks, 1), e.Layers*e.SpareSlots)
 	// A load slows the whole group. All ranks load at the same time, so their
 	// loads share this cost.
 	move := loadSlowdown * load.Seconds() / horizon.Seconds() / float64(ranks) * float64(e.Layers*e.ExpertsPerLayer)
