--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -71,6 +71,10 @@
 	// maps holds the content of the map in force and of the newest one.
 	maps  map[uint64]expertmap.Map
 	epoch uint64
+	// sent is the map that was last sent to the ranks, with its version. They keep it
+	// also if it has not come into force.
+	sent        expertmap.Map
+	sentVersion uint64
 	// switchedVersion is the version of the newest switch and switchedAt its
 	// time.
 	switchedVersion uint64
@@ -83,6 +87,8 @@
 	// switchTime is the mean time that recent switches took beyond the loads of
 	// their weights, until the gate was released.
 	switchTime time.Duration
+	// kept is the latest decision to keep the map.
+	kept keptDecision
 	// evenPass is the mean time of a pass if all ranks had the same load.
 	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
@@ -92,6 +98,24 @@
 	reason placement.Reason
 }
 
+// keptDecision is a decision to keep a map. It saves the processor time of the same
+// decision in each window.
+type keptDecision struct {
+	version uint64
+	share   []float64
+	at      time.Time
+}
+
+// keptPeriod is the time for which a decision to keep the map holds, unless the demand
+// shifts: the gain of a change also depends on the times of the passes.
+const keptPeriod = 200 * time.Millisecond
+
+// holds reports whether the decision would probably be the same now.
+func (k keptDecision) holds(version uint64, demand *groupDemand, now time.Time) bool {
+	return k.share != nil && len(k.share) == len(demand.share) && k.version == version && now.Sub(k.at) < keptPeriod &&
+		demand.distanceTo(k.share) <= settledDistance
+}
+
 // timedDemand is the demand for the experts at a rank, with the time of its
 // arrival.
 type timedDemand struct {
@@ -240,7 +264,7 @@
 	if now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
-	if l.demand.shifting() {
+	if l.demand.shifting() || l.kept.holds(state.InForce, l.demand, now) {
 		return nil
 	}
 	if !state.GroupReady || state.Armed != nil || (state.InForce != l.switchedVersion && now.Sub(l.switchedAt) < settleTimeout) {
@@ -256,7 +280,9 @@
 	if err != nil {
 		return err
 	}
-	group.base, group.baseVersion = inForce, state.InForce
+	if group.base, group.baseVersion = l.sent, l.sentVersion; group.baseVersion == 0 {
+		group.base, group.baseVersion = inForce, state.InForce
+	}
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
 	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
@@ -266,6 +292,7 @@
 	metric.Skew.Update(decision.Before.Skew)
 	l.recordPass(l.agent.passes.passTime(), skewFactor(model.Experts, decision.Before.Skew))
 	if !decision.Change || !WorthSwitching(decision) {
+		l.kept = keptDecision{version: state.InForce, share: l.demand.share, at: now}
 		if decision.Reason != l.reason {
 			l.reason = decision.Reason
 			l.agent.log.Info("map kept", "group", state.Group, "map", state.InForce, "decision", decision.String())
@@ -291,6 +318,7 @@
 		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
+	l.sent, l.sentVersion = d.Map, plan.Version
 	states, err := l.prepareWhileCurrent(ctx, group, plan)
 	closedFor := time.Duration(0)
 	if err == nil {
