rankgroup: read the counts of experts only for reports that include them

Change: in groups whose ranks take turns, an agent reads the counts in its turn and in the period before. Two tests that took the demand of several periods for that of one are new.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,9 +13,11 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
@@ -73,16 +75,31 @@
 func (gw *testGateway) start(store *rowstore.Store, seeds ...string) {
 	server := httptest.NewServer(store)
 	gw.t.Cleanup(server.CloseClientConnections)
+	g, err := gw.startAt(server.URL, seeds)
+	for range startRetries {
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			break
+		}
+		g, err = gw.startAt(server.URL, seeds)
+	}
+	assert.NilError(gw.t, err)
+	gw.gateway = g
+	gw.t.Cleanup(g.Stop)
+}
+
+// startRetries bounds the further tries with other ports if another process has bound
+// a port between freeAddress and the gateway's own listen.
+const startRetries = 5
+
+// startAt starts a gateway at free addresses with the store at a URL.
+func (gw *testGateway) startAt(storeURL string, seeds []string) (*gateway.Gateway, error) {
 	gw.address, gw.peerAddress = freeAddress(gw.t), freeAddress(gw.t)
-	g, err := gateway.Start(gateway.Settings{
+	return gateway.Start(gateway.Settings{
 		Node: "n1", FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
-	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
-	assert.NilError(gw.t, err)
-	gw.gateway = g
-	gw.t.Cleanup(g.Stop)
+	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
 }
 
 func (gw *testGateway) configure(version int, routes []routeConfig) {
--- a/rankgroup/mapcache_test.go
+++ b/rankgroup/mapcache_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
 
 // recordingEngine is an engine that is prepared for the map of each Prepare order.
@@ -120,23 +122,54 @@
 	assert.Assert(t, errors.As(err, &unknown), "a map of another shape is no base")
 }
 
-// TestDemandDue: in a large group the ranks take turns, so that the demand of all of
-// them fits the leader's link, and each reports within a second.
-func TestDemandDue(t *testing.T) {
-	for _, g := range []struct{ ranks, length int }{{8, 6 * 64}, {24, 16 * 96}, {96, 16 * 192}} {
-		bytes, perRank := 0, make([]int, g.ranks)
-		for report := range 10 {
-			for rank := range g.ranks {
-				if demandDue(report, rank, g.ranks, g.length) {
-					bytes += g.length / 2
-					perRank[rank]++
-				}
-			}
+// TestDemandTurns: the demand of all ranks of a large group fits the leader's link, and
+// each reports within a second.
+func TestDemandTurns(t *testing.T) {
+	for _, g := range []struct{ ranks, length int }{{8, 6 * 64}, {24, 16 * 96}, {72, 12 * 144}, {96, 16 * 192}} {
+		turns, period := demandTurns(g.ranks, g.length), reportPeriodOf(g.ranks)
+		bytes := float64(g.ranks*g.length/2) / (float64(turns) * period.Seconds())
+		assert.Assert(t, bytes <= maxDemandRate, "%d ranks: %g bytes a second", g.ranks, bytes)
+		assert.Assert(t, time.Duration(turns)*period <= time.Second, "%d ranks: %d turns", g.ranks, turns)
+	}
+	assert.Equal(t, demandTurns(8, 6*64), 1, "small groups report each time")
+}
+
+// TestDueDemand: a rank of a large group sends its demand once in its turns, and the
+// demand is that of the last period, not of all turns.
+func TestDueDemand(t *testing.T) {
+	experts := &route.Experts{Layers: 16, ExpertsPerLayer: 192}
+	engine := &countingEngine{counts: make([]uint64, 16*192)}
+	a := &Agent{engine: engine, log: slog.New(slog.DiscardHandler)}
+	a.engineModel.Store(&route.Engine{Experts: experts, StepsPerPass: 8})
+	state := State{Rank: 3, Size: 96, Running: 4, Epoch: 1}
+	turns := demandTurns(96, 16*192)
+	assert.Assert(t, turns > 2)
+	sent, last := 0, 0
+	for period := range 4 * turns {
+		// The choices of each period are those of another expert.
+		engine.step++
+		for layer := range 16 {
+			engine.counts[layer*192+period%192] += 1000
 		}
-		assert.Assert(t, bytes <= maxDemandRate+g.ranks*g.length/2, "%d ranks: %d bytes a second", g.ranks, bytes)
-		for rank, n := range perRank {
-			assert.Assert(t, n > 0, "rank %d of %d", rank, g.ranks)
+		if demand := a.dueDemand(context.Background(), state).Counts(); demand != nil {
+			sent++
+			last = period
+			assert.Assert(t, demand[period] >= demandScale*4*8/10, "period %d: %d", period, demand[period])
 		}
 	}
-	assert.Assert(t, demandDue(1, 0, 8, 6*64) && demandDue(2, 0, 8, 6*64), "small groups report each time")
+	assert.Equal(t, sent, 4, "once in %d periods, last in %d", turns, last)
+	assert.Equal(t, engine.reads, 2*sent)
+}
+
+// countingEngine is an engine with the given counts.
+type countingEngine struct {
+	recordingEngine
+	step   uint64
+	counts []uint64
+	reads  int
+}
+
+func (e *countingEngine) Counts(context.Context) (Counts, error) {
+	e.reads++
+	return Counts{Step: e.step, Epoch: 1, Counts: slices.Clone(e.counts)}, nil
 }
--- a/rankgroup/report.go
+++ b/rankgroup/report.go
@@ -17,13 +17,7 @@
 		Group: state.Group, Rank: state.Rank, GroupReady: state.GroupReady, Slowdown: float32(state.Slowdown),
 		PassTime: a.passes.passTime().Milliseconds(), PassElapsed: a.passes.passElapsed(now).Milliseconds(),
 	}
-	// The demand is read in each period, so that it covers the same time at all ranks.
-	demand := a.expertDemand(ctx, state)
-	d := gossip.Datagram{From: a.settings.PeerAddress, Loads: []gossip.Load{load}, Rank: state.Rank}
-	a.reports++
-	if demandDue(a.reports, state.Rank, state.Size, len(demand)) {
-		d.ExpertDemand = gossip.PackCounts(demand)
-	}
+	d := gossip.Datagram{From: a.settings.PeerAddress, Loads: []gossip.Load{load}, Rank: state.Rank, ExpertDemand: a.dueDemand(ctx, state)}
 	leaderRank, leading := a.currentLeader(state, now)
 	if leaderRank == noRank {
 		// No leader collects the loads of the group yet.
@@ -46,14 +40,34 @@
 // demand of its ranks: a third of the link of the slowest VMs, 6 Mbit/s.
 const maxDemandRate = 250_000
 
-// demandDue reports whether a rank includes its demand for experts, a list of the
-// given length, in its report with this number. In large groups the ranks take turns.
-// Shifts of demand show at all ranks, so some ranks suffice to see them.
-func demandDue(report, rank, ranks, length int) bool {
+// demandTurns returns the number of report periods in which each rank of a group
+// reports its demand for experts, a list of the given length, once. In large groups the
+// ranks take turns. Shifts of demand show at all ranks, so some ranks suffice to see
+// them.
+func demandTurns(ranks, length int) int {
 	perSecond := float64(time.Second) / float64(reportPeriodOf(ranks))
 	bytes := float64(ranks*length/2) * perSecond
-	turns := max(int(math.Ceil(bytes/maxDemandRate)), 1)
-	return (report+rank)%turns == 0
+	return max(int(math.Ceil(bytes/maxDemandRate)), 1)
+}
+
+// dueDemand returns the demand if it is this rank's turn. The counts are read in that
+// period and in the one before, so that the demand is that of one period.
+func (a *Agent) dueDemand(ctx context.Context, state State) gossip.PackedCounts {
+	model := a.engineModel.Load()
+	if model == nil || model.Experts == nil {
+		return gossip.PackedCounts{}
+	}
+	turns := demandTurns(state.Size, model.Experts.Layers*model.Experts.ExpertsPerLayer)
+	a.reports++
+	turn := (a.reports + state.Rank) % turns
+	if turn != 0 && turn != turns-1 {
+		return gossip.PackedCounts{}
+	}
+	demand := a.expertDemand(ctx, state)
+	if turn != 0 {
+		return gossip.PackedCounts{}
+	}
+	return gossip.PackCounts(demand)
 }
 
 // expertDemand returns the demand of the engine's running requests for each
