gateway: no share of the retry reserve until the other entry nodes are known

Found before by nobody, since it takes a store that does not answer for one table after a power failure.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,11 @@
 // accepts a new connection within some ms; an unreachable one never does.
 var upstreamTimeouts = upstream.Timeouts{Connect: 400 * time.Millisecond, Ack: time.Second}
 
+// unknownNodes is the number of entry nodes that is assumed until the list of processes
+// has been read: that of the largest deployments. With fewer, each of the nodes that
+// start after a power failure would use the retries of all.
+const unknownNodes = 350
+
 // Start starts a gateway. The error is a *net.OpError if it cannot listen at an
 // address.
 func Start(s Settings, protocol Protocol, store Store, log *slog.Logger) (*Gateway, error) {
@@ -150,6 +155,7 @@
 		loads: outstanding.New(), budgets: forward.NewRetryBudgets(s.Budget), pool: upstream.NewPool(upstreamTimeouts),
 	}
 	g.endpoints.Store(discovery.NewSet(nil))
+	g.budgets.SetNodes(unknownNodes)
 	g.forwarder = forward.New(protocol, &endpointPicker{g}, g.pool, g.budgets, log)
 	g.configFollower = follow.New(s.Tables.Config, store, configTiming, log, g.setConfig)
 	timing := endpointTiming
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,7 +72,7 @@
 }
 
 // start starts the gateway with a store, which may differ from gw.store.
-func (gw *testGateway) start(store *rowstore.Store, seeds ...string) {
+func (gw *testGateway) start(store http.Handler, seeds ...string) {
 	server := httptest.NewServer(store)
 	gw.t.Cleanup(server.CloseClientConnections)
 	g, err := gw.startAt(server.URL, seeds)
@@ -251,6 +251,40 @@
 	}
 }
 
+// TestRetriesBeforeNodesAreKnown guards against a fleet that exceeds its retry budget
+// after a power failure: while the store did not answer for the table of processes, each
+// of 26 gateways took itself for the only one and used the whole reserve.
+func TestRetriesBeforeNodesAreKnown(t *testing.T) {
+	e1, e2 := endpoint.New("e1"), endpoint.New("e2")
+	gw := &testGateway{t: t, store: rowstore.New(), servers: make(map[string]*httptest.Server), grace: 400 * time.Millisecond}
+	gw.configure(1, testRoutes())
+	gw.addEndpoint(e1)
+	gw.addEndpoint(e2)
+	gw.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == platform.TableNodes {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		gw.store.ServeHTTP(w, r)
+	}))
+	gw.waitReady()
+	var arrived atomic.Int32
+	fault := func(string, int) endpoint.Fault {
+		arrived.Add(1)
+		return endpoint.ServerError
+	}
+	e1.SetFault(fault)
+	e2.SetFault(fault)
+	const calls = 12
+	for range calls {
+		a := gw.call("GET", "/safe/1", "")
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, 500)
+	}
+	// A fifth of the requests, and this gateway's part of the reserve.
+	assert.Assert(t, arrived.Load() <= calls+calls/5+2, "%d arrivals", arrived.Load())
+}
+
 // TestStreamResumed checks that a stream that breaks in the middle of an event continues at
 // another endpoint, as one answer with the headers of the first endpoint.
 func TestStreamResumed(t *testing.T) {
--- a/placement/objective.go
+++ b/placement/objective.go
@@ -11,7 +11,7 @@
 
 // ObjectiveTerms holds the terms of the objective for one map:
 //
-//	Value = Skew weight * (mean skew + 20 * mean share of late steps) over the horizon
+//	Value = Skew weight * (mean skew + lateWeight * mean share of late steps) over the horizon
 //	      + Move weight * (weight loads + Reused/4) / experts of all layers
 //
 // Until the map comes into force, after Delay, the skew of the previous map
