placement: a test for small batches near the target

The share of late steps in the objective had no test of its own; with a weight of 0 it fails. A comment of the measuring code no longer says when a policy was in use.

--- a/internal/measure/placement/shifts/planners.go
+++ b/internal/measure/placement/shifts/planners.go
@@ -54,7 +54,7 @@
 }
 
 // FixedTime gives each change a fixed time for its loads and follows an average of
-// the demand, as the agents did until December 2026.
+// the demand.
 type FixedTime struct {
 	Group Group
 	mean  []float64
--- a/placement/batch_test.go
+++ b/placement/batch_test.go
@@ -157,3 +157,25 @@
 	assert.Assert(t, !d.Change && d.Map.Equal(in.InForce), "%v", d)
 	assert.Equal(t, d.Reason, ReasonNoChange)
 }
+
+// TestSmallBatchNearTarget guards against batches that make all answers late: while
+// weights are loaded steps take longer, and near the target each of them is late. There
+// a smaller batch goes first. Far below the target the times of steps do not matter.
+func TestSmallBatchNearTarget(t *testing.T) {
+	in := hotLayers(t, 6)
+	decide := func(step time.Duration) Decision {
+		p := batchPolicy(75 * time.Millisecond)
+		p.StepTime, p.TargetStep, p.SkewedPart = step, 120*time.Millisecond, 0.6
+		d, err := p.Decide(in)
+		assert.NilError(t, err)
+		assert.Assert(t, d.Change)
+		return d
+	}
+	skew := decide(time.Millisecond).Before.Skew
+	// Without loads the steps keep below the target, with them they exceed it.
+	near := time.Duration(float64(105*time.Millisecond) / (1 + 0.6*(skew-1)))
+	small, large := decide(near), decide(time.Millisecond)
+	assert.Assert(t, maxLoadsOfRank(small.Moves, 8) < maxLoadsOfRank(large.Moves, 8), "%d and %d loads",
+		maxLoadsOfRank(small.Moves, 8), maxLoadsOfRank(large.Moves, 8))
+	assert.Assert(t, small.After.Late < small.Before.Late && large.After.Late < 0.01)
+}
