--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,9 @@
 	// AnswerTokens is the caller's estimate of the size of the answer; zero if
 	// unknown.
 	AnswerTokens int
+	// PromptParts holds the ids of the parts of the prompt that other requests may
+	// have too, in order.
+	PromptParts []string
 }
 
 // Attempt holds the values that an endpoint gets in the headers of one attempt.
@@ -311,7 +314,8 @@
 		decision = retry.Decision{Reason: retry.ReasonBudget}
 	}
 	r.f.log.Info("attempt failed", "request", r.req.ID, "endpoint", target.ID, "attempt", r.sends, "load", target.Load,
-		"cause", result.cause, "outcome", result.outcome.String(), "retry", decision.Retry, "reason", decision.Reason.String())
+		"cause", result.cause, "outcome", result.outcome.String(), "retry", decision.Retry, "reason", decision.Reason.String(),
+		"events", r.events, "prompt_parts", r.req.PromptParts)
 	if !decision.Retry {
 		return final
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,10 @@
 	// answer; zero if unknown. LikelyAnswerTokens is the caller's estimate of the
 	// answer's size, which may exceed MaxAnswerTokens.
 	PromptTokens, MaxAnswerTokens, LikelyAnswerTokens int
+	// PromptParts holds the ids of the parts of the prompt that other requests may have
+	// too, in order. The last part of a prompt, which belongs to the request alone or to
+	// its session, is not included.
+	PromptParts []string
 	// InvalidHeaders holds the names of the optional headers that could not be parsed.
 	// Their values count as unknown.
 	InvalidHeaders []string
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -131,6 +131,7 @@
 		Header: g.protocol.ForwardedHeaders(r.Header), Body: body, Match: match,
 		Arrived: arrived, Deadline: arrived.Add(effectiveTimeout(caller.Timeout, match.Route.Timeout)),
 		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.answerTokens(),
+		PromptParts: caller.PromptParts,
 	}, nil
 }
 
