--- a/forward/answer.go
+++ b/forward/answer.go
@@ -21,7 +21,7 @@
 
 // relayAnswer sends an endpoint's response to the caller.
 func (r *requestState) relayAnswer(ctx context.Context, conn *upstream.Conn, resp *http.Response, answer Answer) result {
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	success := isSuccess(resp.StatusCode)
 	switch {
 	case success && (!answer.Sealed || answer.Encoded):
 		return failedResult(ctx, "answer is not the endpoint's own")
@@ -35,6 +35,8 @@
 	return r.relayBuffered(ctx, conn, resp, success)
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // impliesNotRun reports whether callers treat a status as proof that the request
 // did not run.
 func impliesNotRun(status int) bool {
@@ -156,6 +158,7 @@
 		return err
 	}
 	r.events++
+	r.watch.Answered(true)
 	if event.ID != "" {
 		r.lastEventID = event.ID
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -54,8 +54,8 @@
 func (r *requestState) attempt(ctx context.Context, target Target) result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r.f.picker.Begin(target.ID)
-	defer r.f.picker.End(target.ID)
+	r.watch = r.f.picker.Begin(r.req, target, cancel)
+	defer r.watch.End()
 	conn, err := r.f.pool.Get(ctx, target.Address, target.MaxConnections, r.needsNewConnection())
 	if err != nil {
 		return r.notSent(ctx, err)
@@ -64,22 +64,40 @@
 	conn.AbortOnDone(ctx)
 	r.recordProgress()
 	defer r.watchStall(target, cancel)()
+	r.watch.Sent()
 	resp, err := conn.Exchange(ctx, r.newRequest(target), r.answersRequest)
 	if err != nil {
 		conn.Discard()
+		r.connectionLost(ctx)
 		return r.broken(ctx, err)
 	}
 	answer := r.f.codec.DecodeAnswer(resp.StatusCode, resp.Header)
 	if answer.NotRun {
+		r.watch.Answered(false)
 		return r.rejected(conn, resp, answer)
 	}
+	events := r.events
 	res := r.relayAnswer(ctx, conn, resp, answer)
 	if !res.released {
 		conn.Discard()
 	}
+	switch {
+	case res.released && isSuccess(resp.StatusCode):
+		r.watch.Answered(true)
+	case !res.released && r.events == events:
+		r.connectionLost(ctx)
+	}
 	return res
 }
 
+// connectionLost tells the watch that the connection failed, unless the attempt was
+// cancelled.
+func (r *requestState) connectionLost(ctx context.Context) {
+	if ctx.Err() == nil {
+		r.watch.ConnectionLost()
+	}
+}
+
 const (
 	// stallPollInterval is the time between two checks for a stalled attempt.
 	stallPollInterval = 200 * time.Millisecond
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 	"github.com/cyclamenpoint/cyclamenpoint/syncrand"
@@ -49,6 +50,8 @@
 	// PromptParts holds the ids of the parts of the prompt that other requests may
 	// have too, in order.
 	PromptParts []string
+	// Identity identifies the request around crashes of endpoints.
+	Identity *quarantine.Request
 }
 
 // Attempt holds the values that an endpoint gets in the headers of one attempt.
@@ -107,18 +110,29 @@
 // Picker chooses endpoints and records the outcome of attempts.
 type Picker interface {
 	// Pick returns an endpoint that is not in tried. The error is a
-	// *NoEndpointError.
+	// *NoEndpointError or a *QuarantinedError.
 	Pick(req *Request, tried []string) (Target, error)
-	// Begin and End mark the start and the end of a request in flight at an
-	// endpoint.
-	Begin(endpoint string)
-	End(endpoint string)
+	// Begin marks the start of an attempt. withdraw cancels it.
+	Begin(req *Request, target Target, withdraw func()) Watch
 	// Record stores the verdict on the endpoint of an attempt.
 	Record(target Target, verdict Verdict)
 	// Unresponsive reports whether an endpoint is probably down.
 	Unresponsive(target Target) bool
 }
 
+// Watch is told the course of one attempt. Its methods must not be called concurrently.
+type Watch interface {
+	// Sent marks that the request is about to be sent.
+	Sent()
+	// Answered marks the first event or the complete answer; ran is false if the
+	// endpoint stated that it did not run the request.
+	Answered(ran bool)
+	// ConnectionLost marks that the connection failed before any answer.
+	ConnectionLost()
+	// End marks the end of the attempt.
+	End()
+}
+
 // Target is the endpoint chosen for an attempt.
 type Target struct {
 	discovery.Endpoint
@@ -139,11 +153,26 @@
 	// MayRecover is true if no endpoint can serve at all; one may recover at any
 	// moment. It is false if endpoints are only full or too slow.
 	MayRecover bool
+	// Suspect is true if the request may only run at one endpoint, because it may crash
+	// endpoints.
+	Suspect bool
 }
 
 // Error implements error.
 func (e *NoEndpointError) Error() string { return e.Reason }
 
+// QuarantinedError reports that a request must not run because its content or a part of
+// its prompt crashes endpoints.
+type QuarantinedError struct {
+	// Remaining is how long the quarantine lasts.
+	Remaining time.Duration
+}
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return "endpoints crashed each time they ran this content or a part of its prompt"
+}
+
 // Verdict is the conclusion about an endpoint drawn from an attempt.
 type Verdict int
 
@@ -215,6 +244,8 @@
 	sends int
 	// mayHaveRun is true once an attempt may have run.
 	mayHaveRun bool
+	// watch is that of the current attempt.
+	watch Watch
 	// headSent is true once the response head was sent to the caller. lastEventID
 	// is the id of the last event sent, events the number of events sent.
 	headSent     bool
@@ -336,14 +367,20 @@
 // noEndpointProblem returns the problem for a request without an endpoint.
 func (r *requestState) noEndpointProblem(err error) *problem.Problem {
 	p := &problem.Problem{Kind: problem.NoCapacity, RequestID: r.req.ID, Detail: err.Error()}
-	if noEndpoint, ok := err.(*NoEndpointError); ok {
-		p.RetryAfter = noEndpoint.RetryAfter
-		cause := "full"
-		if noEndpoint.MayRecover {
+	cause := "full"
+	switch e := err.(type) {
+	case *NoEndpointError:
+		p.RetryAfter = e.RetryAfter
+		if e.MayRecover {
 			cause = "none can serve"
 		}
-		metric.Refusals(r.req.Match.Service.Name, cause).Inc()
+		if e.Suspect {
+			cause = "suspect"
+		}
+	case *QuarantinedError:
+		p.Kind, p.RetryAfter, cause = problem.CrashesEndpoints, e.Remaining, "quarantined"
 	}
+	metric.Refusals(r.req.Match.Service.Name, cause).Inc()
 	return p
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -39,8 +39,17 @@
 	return p.targets[len(tried)], nil
 }
 
-func (p *orderedPicker) Begin(string) {}
-func (p *orderedPicker) End(string)   {}
+func (p *orderedPicker) Begin(*forward.Request, forward.Target, func()) forward.Watch {
+	return unwatched{}
+}
+
+// unwatched is a forward.Watch that ignores the course of attempts.
+type unwatched struct{}
+
+func (unwatched) Sent()           {}
+func (unwatched) Answered(bool)   {}
+func (unwatched) ConnectionLost() {}
+func (unwatched) End()            {}
 
 func (p *orderedPicker) Record(_ forward.Target, v forward.Verdict) {
 	p.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -37,6 +37,8 @@
 	nextID      int
 	grace       time.Duration
 	servers     map[string]*httptest.Server
+	// node is the gateway's name.
+	node string
 }
 
 // routeConfig is a route of the configuration under test.
@@ -54,7 +56,7 @@
 
 // newTestGateway starts a gateway with a configuration and endpoints in its store.
 func newTestGateway(t *testing.T, endpoints ...*endpoint.Endpoint) *testGateway {
-	gw := &testGateway{t: t, store: rowstore.New(), servers: make(map[string]*httptest.Server), grace: 400 * time.Millisecond}
+	gw := &testGateway{t: t, store: rowstore.New(), servers: make(map[string]*httptest.Server), grace: 400 * time.Millisecond, node: "n1"}
 	gw.configure(1, testRoutes())
 	for _, e := range endpoints {
 		gw.addEndpoint(e)
@@ -95,7 +97,7 @@
 func (gw *testGateway) startAt(storeURL string, seeds []string) (*gateway.Gateway, error) {
 	gw.address, gw.peerAddress = freeAddress(gw.t), freeAddress(gw.t)
 	return gateway.Start(gateway.Settings{
-		Node: "n1", FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
+		Node: gw.node, FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/syncrand"
 )
 
@@ -24,7 +25,20 @@
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
+	judgement := g.crashes.list.Judge(req.Identity)
+	switch judgement.State {
+	case quarantine.Quarantined:
+		return forward.Target{}, &forward.QuarantinedError{Remaining: judgement.Remaining}
+	case quarantine.Suspect:
+		p.restrictToTrial(judgement, listed, reported)
+	}
 	choice := picker.DefaultReportPolicy.Choose(reported, p.workOf(req, now), syncrand.New())
+	if choice.Index < 0 && judgement.State == quarantine.Suspect {
+		return forward.Target{}, &forward.NoEndpointError{
+			Reason:     fmt.Sprintf("request may crash endpoints and its trial endpoint cannot take it: suspects %d, group %s, age %s", len(judgement.Suspects), judgement.Group, judgement.Age),
+			RetryAfter: max(retryAfter(false), judgement.TrialIn()), MayRecover: judgement.Age < factDelay, Suspect: true,
+		}
+	}
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.NoEndpointError{
 			Reason:     fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, too slow %d, tried %d", len(listed), choice.Usable, choice.Full, choice.TooSlow, len(tried)),
@@ -37,6 +51,22 @@
 	}, nil
 }
 
+// factDelay is the time within which other nodes may show that a request did not cause a
+// crash.
+const factDelay = 100 * time.Millisecond
+
+// restrictToTrial excludes all endpoints but the trial endpoint of a suspect.
+func (p *endpointPicker) restrictToTrial(j quarantine.Judgement, listed []discovery.Endpoint, reported []picker.ReportedEndpoint) {
+	sites := make([]quarantine.TrialSite, len(listed))
+	for i := range listed {
+		sites[i] = quarantine.TrialSite{Endpoint: listed[i].ID, Group: p.g.loads.Group(listed[i].ID)}
+	}
+	trial := quarantine.SelectTrial(j, sites)
+	for i := range reported {
+		reported[i].Excluded = reported[i].Excluded || i != trial
+	}
+}
+
 // workOf returns the picker's input for a request and counts the request as an
 // arrival.
 func (p *endpointPicker) workOf(req *forward.Request, now time.Time) picker.Work {
@@ -105,12 +135,6 @@
 	return max(total/max(g.registry.EntryCount(), 1), 1)
 }
 
-// Begin implements forward.Picker.
-func (p *endpointPicker) Begin(endpoint string) { p.g.loads.Begin(endpoint) }
-
-// End implements forward.Picker.
-func (p *endpointPicker) End(endpoint string) { p.g.loads.End(endpoint) }
-
 // Record implements forward.Picker.
 func (p *endpointPicker) Record(target forward.Target, verdict forward.Verdict) {
 	switch verdict {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
+	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
 
@@ -131,10 +132,19 @@
 		Header: g.protocol.ForwardedHeaders(r.Header), Body: body, Match: match,
 		Arrived: arrived, Deadline: arrived.Add(effectiveTimeout(caller.Timeout, match.Route.Timeout)),
 		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.answerTokens(),
-		PromptParts: caller.PromptParts,
+		PromptParts: caller.PromptParts, Identity: requestIdentity(r, match, body, caller.PromptParts),
 	}, nil
 }
 
+// requestIdentity returns what identifies a request around crashes of endpoints.
+func requestIdentity(r *http.Request, match route.Match, body []byte, parts []string) *quarantine.Request {
+	content := quarantine.Content{Service: match.Service.Name, Method: r.Method, Path: r.RequestURI, Body: body}
+	if match.Organisation != nil {
+		content.Organisation = match.Organisation.Name
+	}
+	return quarantine.NewRequest(content, parts)
+}
+
 // startRetryAfter is the Retry-After of a node that lacks an up-to-date configuration,
 // for example because it has just started.
 const startRetryAfter = 300 * time.Millisecond
--- a/gossip/datagram.go
+++ b/gossip/datagram.go
@@ -55,6 +55,10 @@
 	// forDomain marks a datagram for all entry nodes of the receiver's failure
 	// domain. The receiver relays it to them.
 	forDomain = 2
+	// noteForReceiver and noteForDomain mark datagrams whose remaining bytes are a note,
+	// with the same audiences.
+	noteForReceiver = 3
+	noteForDomain   = 4
 )
 
 // encode returns the encoded datagram, with the audience as its first byte.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -59,6 +59,7 @@
 	log        *slog.Logger
 	onLoads    func([]Load)
 	onDatagram func(Datagram)
+	onNote     func([]byte)
 	client     *http.Client
 	mux        *http.ServeMux
 	socket     *net.UDPConn
@@ -97,6 +98,28 @@
 // be called before Run.
 func (g *Gossiper) OnDatagram(handle func(Datagram)) { g.onDatagram = handle }
 
+// OnNote sets a function that is called with every note received. It must be called
+// before Run.
+func (g *Gossiper) OnNote(handle func([]byte)) { g.onNote = handle }
+
+// SendNote sends a note to one process. Its contents are the sender's and the receiver's
+// alone. Delivery is not guaranteed.
+func (g *Gossiper) SendNote(address string, note []byte) {
+	g.write(address, append([]byte{noteForReceiver}, note...))
+}
+
+// BroadcastNote sends a note to all entry nodes, as Broadcast does. A node may get it more
+// than once.
+func (g *Gossiper) BroadcastNote(note []byte) {
+	g.writeToDomains(append([]byte{noteForDomain}, note...))
+}
+
+// RandomEntry returns the address of another entry node, or of a seed if none is in the
+// registry. It returns "" if there is neither.
+func (g *Gossiper) RandomEntry() string {
+	return g.randomAddress(func(n Node) bool { return n.Kind == KindEntry })
+}
+
 // Run listens and exchanges datagrams until the context ends.
 func (g *Gossiper) Run(ctx context.Context) {
 	socket, listener, err := g.listen()
@@ -169,9 +192,13 @@
 // randomPeer returns the address of a random peer, or of a random seed if there
 // is no peer in the registry. It returns "" if there is neither.
 func (g *Gossiper) randomPeer() string {
+	return g.randomAddress(func(Node) bool { return true })
+}
+
+func (g *Gossiper) randomAddress(accept func(Node) bool) string {
 	var known []string
 	for _, n := range g.registry.Nodes() {
-		if n.Address != g.address {
+		if n.Address != g.address && accept(n) {
 			known = append(known, n.Address)
 		}
 	}
@@ -208,6 +235,11 @@
 	if !ok {
 		return
 	}
+	g.writeToDomains(data)
+}
+
+// writeToDomains writes a datagram to a few entry nodes of each failure domain.
+func (g *Gossiper) writeToDomains(data []byte) {
 	for _, domain := range g.entriesByDomain() {
 		rand.Shuffle(len(domain), func(i, j int) { domain[i], domain[j] = domain[j], domain[i] })
 		for _, address := range domain[:min(relaysPerDomain, len(domain))] {
@@ -259,12 +291,17 @@
 		if err != nil {
 			continue
 		}
+		if n > 0 && (buffer[0] == noteForReceiver || buffer[0] == noteForDomain) {
+			g.receiveNote(buffer[:n])
+			continue
+		}
 		d, audience, err := decodeDatagram(buffer[:n])
 		if err != nil {
 			g.log.Warn("cannot decode datagram", "error", err.Error())
 			continue
 		}
 		if audience == forDomain {
+			buffer[0] = forReceiver
 			g.relay(buffer[:n])
 		}
 		if g.isNew(d) {
@@ -273,6 +310,17 @@
 	}
 }
 
+// receiveNote relays a note if it is for the failure domain, and handles it.
+func (g *Gossiper) receiveNote(data []byte) {
+	if data[0] == noteForDomain {
+		data[0] = noteForReceiver
+		g.relay(data)
+	}
+	if g.onNote != nil {
+		g.onNote(data[1:])
+	}
+}
+
 // isNew reports whether no copy of a broadcast and no newer broadcast of the same
 // sender has arrived: an older report must not replace a newer one. It is always
 // true for datagrams that are not broadcast.
@@ -293,7 +341,6 @@
 // relay sends a broadcast to the other entry nodes in this process's failure
 // domain.
 func (g *Gossiper) relay(data []byte) {
-	data[0] = forReceiver
 	for _, address := range g.entriesByDomain()[g.registry.Self().FailureDomain] {
 		g.write(address, data)
 	}
--- a/outstanding/outstanding.go
+++ b/outstanding/outstanding.go
@@ -66,13 +66,16 @@
 	byAddress map[string]string
 	// nodes is the number of entry nodes that send requests.
 	nodes int
+	// groupStopped holds the time until which a rank group counts as stopped whatever its
+	// reports say.
+	groupStopped map[string]time.Time
 	// rates holds the arrival rates of requests at this entry node, by service.
 	rates map[string]*arrivalRate
 }
 
 // New returns an empty Tracker.
 func New() *Tracker {
-	return &Tracker{states: make(map[string]*endpointState), byAddress: make(map[string]string), nodes: 1, rates: make(map[string]*arrivalRate)}
+	return &Tracker{states: make(map[string]*endpointState), byAddress: make(map[string]string), groupStopped: make(map[string]time.Time), nodes: 1, rates: make(map[string]*arrivalRate)}
 }
 
 // SetEndpoints replaces the endpoints; byAddress maps addresses to ids. It deletes the
@@ -191,6 +194,28 @@
 	s.report, s.inFlightAtReport, s.reportedAt = r, s.inFlight, time.Now()
 }
 
+// stoppedPeriod is the time for which reports may still describe a rank group as it was
+// before one of its ranks crashed.
+const stoppedPeriod = 700 * time.Millisecond
+
+// GroupStopped records that a rank of a group has crashed, which stops the whole group.
+func (t *Tracker) GroupStopped(group string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.groupStopped[group] = time.Now().Add(stoppedPeriod)
+}
+
+// Group returns the rank group that the latest report of an endpoint named, however old
+// the report is, or "".
+func (t *Tracker) Group(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[id]; s != nil {
+		return s.report.Group
+	}
+	return ""
+}
+
 // Estimate is the estimated state of an endpoint.
 type Estimate struct {
 	// Load is the number of running and waiting requests.
@@ -233,7 +258,7 @@
 	}
 	e.Reported, e.Group = true, s.report.Group
 	e.Slowdown, e.PassTime, e.PassElapsed = s.report.Slowdown, s.report.PassTime, s.report.PassElapsed
-	e.GroupDown = s.report.Group != "" && !s.report.GroupReady
+	e.GroupDown = s.report.Group != "" && (!s.report.GroupReady || now.Before(t.groupStopped[s.report.Group]))
 	e.Load = float64(max(s.report.Running+s.report.Queued+s.inFlight-s.inFlightAtReport, s.inFlight))
 	return e
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -52,6 +52,7 @@
 	AnswerGone             = Kind{"answer-gone", "The request ran before, and its answer is no longer kept", http.StatusConflict, Refused}
 	OverLimit              = Kind{"over-limit", "The organisation's limit is reached", http.StatusTooManyRequests, Refused}
 	Quarantined            = Kind{"quarantined", "Requests with this content crash endpoints", http.StatusUnprocessableEntity, Refused}
+	CrashesEndpoints       = Kind{"crashes-endpoints", "Requests like this one crash endpoints", http.StatusServiceUnavailable, NotRun}
 	NoCapacity             = Kind{"no-capacity", "No endpoint has room", http.StatusServiceUnavailable, NotRun}
 	Draining               = Kind{"draining", "The node is stopping", http.StatusServiceUnavailable, NotRun}
 	NotReady               = Kind{"not-ready", "The node is not ready", http.StatusServiceUnavailable, NotRun}
--- /dev/null
+++ b/quarantine/attempts.go
@@ -0,0 +1,332 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// maxAnsweredParts bounds the parts for which the time of the last answer is kept.
+	maxAnsweredParts = 1024
+	// answeredWindow is how long an answer shows that a part does not crash endpoints.
+	answeredWindow = 10 * time.Minute
+	// establishedAnswers is the number of answers after which a node knows enough parts
+	// that do not crash endpoints for one that it does not know to be conspicuous.
+	establishedAnswers = 20
+	// lateEndWindow is how long an attempt that ended without an answer still counts as
+	// in flight. The caller may leave just before the crash is noticed.
+	lateEndWindow = 250 * time.Millisecond
+)
+
+// Site is an endpoint to which an entry node sends requests directly.
+type Site struct {
+	Endpoint string
+	// Incarnation identifies the start of the endpoint's process.
+	Incarnation uint64
+	// Group is the endpoint's rank group, or empty.
+	Group string
+}
+
+func (s Site) crashID() CrashID { return CrashID{Endpoint: s.Endpoint, Incarnation: s.Incarnation} }
+
+// Attempts tracks the attempts of an entry node that waits for the first event of an
+// answer. It reports those that wait at an endpoint that crashes, clears contents and
+// parts that are answered, and withdraws attempts whose requests become suspects. It is
+// safe for concurrent use.
+type Attempts struct {
+	list *List
+	// reporter is the name of this node.
+	reporter string
+	// onChange is called without locks after a fact was added.
+	onChange func()
+
+	mu      sync.Mutex
+	waiting map[CrashID]map[*Attempt]struct{}
+	// ended holds attempts that recently ended without an answer.
+	ended []*Attempt
+	// answers counts the answers to requests with parts.
+	answers int
+	// answered holds the time of the last answer to a request with a part.
+	answered *lru.Cache[Fingerprint, time.Time]
+}
+
+// NewAttempts returns the attempts of a node. onChange is called after each change of
+// the facts in list that comes from here.
+func NewAttempts(list *List, reporter string, onChange func()) *Attempts {
+	answered, err := lru.New[Fingerprint, time.Time](maxAnsweredParts)
+	if err != nil {
+		// The size is a positive constant.
+		panic(err)
+	}
+	return &Attempts{
+		list: list, reporter: reporter, onChange: onChange,
+		waiting: make(map[CrashID]map[*Attempt]struct{}), answered: answered,
+	}
+}
+
+// Attempt is one request in flight at one endpoint. Its methods must not be called
+// concurrently.
+type Attempt struct {
+	attempts *Attempts
+	site     Site
+	request  *Request
+	// withdraw cancels the attempt. It may be called more than once.
+	withdraw func()
+	// done is true once the attempt no longer waits.
+	done    bool
+	endedAt time.Time
+}
+
+// Begin records that a request is about to be sent to an endpoint.
+func (a *Attempts) Begin(site Site, r *Request, withdraw func()) *Attempt {
+	t := &Attempt{attempts: a, site: site, request: r, withdraw: withdraw}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := site.crashID()
+	if a.waiting[id] == nil {
+		a.waiting[id] = make(map[*Attempt]struct{})
+	}
+	a.waiting[id][t] = struct{}{}
+	return t
+}
+
+// Answered records the first event of the answer, or that the endpoint did not run the
+// request. In the first case the endpoint has begun to write, and the request's content
+// and parts are cleared of earlier crashes.
+func (t *Attempt) Answered(ran bool) {
+	a := t.attempts
+	if t.done {
+		return
+	}
+	t.done = true
+	a.remove(t)
+	if !ran {
+		return
+	}
+	a.recordAnswer(t.request.parts)
+	if a.list.Empty() {
+		return
+	}
+	before := a.list.Version()
+	for _, fp := range t.request.all() {
+		a.list.RecordAnswer(fp)
+	}
+	if a.list.Version() != before {
+		a.onChange()
+	}
+}
+
+func (a *Attempts) recordAnswer(parts []Fingerprint) {
+	if len(parts) == 0 {
+		return
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answers++
+	for _, fp := range parts {
+		a.answered.Add(fp, now)
+	}
+}
+
+// established reports whether this node has had many answers to requests with parts.
+func (a *Attempts) established() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.answers >= establishedAnswers
+}
+
+// End records the end of the attempt.
+func (t *Attempt) End() {
+	a := t.attempts
+	if t.done {
+		return
+	}
+	t.done = true
+	a.remove(t)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.endedAt = time.Now()
+	a.ended = append(slices.DeleteFunc(a.ended, func(e *Attempt) bool { return time.Since(e.endedAt) > lateEndWindow }), t)
+}
+
+// remove deletes an attempt from those that wait.
+func (a *Attempts) remove(t *Attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := t.site.crashID()
+	delete(a.waiting[id], t)
+	if len(a.waiting[id]) == 0 {
+		delete(a.waiting, id)
+	}
+}
+
+// RecordCrash records that an endpoint crashed. It must be called before the attempts
+// that failed by the crash have ended.
+func (a *Attempts) RecordCrash(site Site) {
+	if a.report(site) {
+		a.changed()
+	}
+}
+
+// Merge adds facts from another node and reports whether any was new. This node adds its
+// own requests to new crashes.
+func (a *Attempts) Merge(facts Facts) bool {
+	if !a.list.MergeFromPeer(facts) {
+		return false
+	}
+	for _, c := range facts.Crashes {
+		a.report(Site{Endpoint: c.ID.Endpoint, Incarnation: c.ID.Incarnation, Group: c.Group})
+	}
+	a.changed()
+	return true
+}
+
+// report adds this node's report on a crash, unless it has reported the crash or had
+// no request there.
+func (a *Attempts) report(site Site) bool {
+	inFlight := a.inFlight(site.crashID())
+	if len(inFlight) == 0 || a.list.hasReport(site.crashID(), a.reporter) {
+		return false
+	}
+	c := Crash{ID: site.crashID(), Reporter: a.reporter, Group: site.Group, Established: a.established(), Remaining: a.list.cfg.Keep}
+	for _, t := range inFlight {
+		c.Fingerprints = append(c.Fingerprints, t.request.content())
+		c.Parts = append(c.Parts, t.request.parts...)
+	}
+	counts.Add("crashes", 1)
+	return a.list.Merge(Facts{Crashes: []Crash{c}})
+}
+
+// inFlight returns the attempts in flight at a crash.
+func (a *Attempts) inFlight(id CrashID) []*Attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*Attempt
+	for t := range a.waiting[id] {
+		out = append(out, t)
+	}
+	for _, t := range a.ended {
+		if t.site.crashID() == id && time.Since(t.endedAt) <= lateEndWindow {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// changed follows a change of the facts: it clears parts that were answered recently
+// and withdraws attempts whose requests must not run where they are.
+func (a *Attempts) changed() {
+	a.clearAnswered()
+	a.withdrawSuspects()
+	a.onChange()
+}
+
+// clearAnswered clears the parts that were answered shortly before a crash. An answer
+// from before another crash at which the part was in flight does not count, so that a
+// part that begins to crash endpoints is found at its second crash.
+func (a *Attempts) clearAnswered() {
+	for _, c := range a.list.unclearedParts() {
+		at, ok := a.answered.Peek(c.part)
+		if ok && time.Since(at) <= answeredWindow && at.After(c.previous) {
+			a.list.clearOf(c.part, c.crash)
+		}
+	}
+}
+
+// withdrawSuspects cancels the waiting attempts whose requests are suspects or
+// quarantined because of a crash at another endpoint.
+func (a *Attempts) withdrawSuspects() {
+	a.mu.Lock()
+	var all []*Attempt
+	for _, at := range a.waiting {
+		for t := range at {
+			all = append(all, t)
+		}
+	}
+	a.mu.Unlock()
+	for _, t := range all {
+		if t.mustWithdraw(a.list.Judge(t.request)) {
+			counts.Add("withdrawn", 1)
+			t.withdraw()
+		}
+	}
+}
+
+// mustWithdraw reports whether an attempt must not go on. The attempt of a suspect in the
+// rank group that crashed may be its trial.
+func (t *Attempt) mustWithdraw(j Judgement) bool {
+	switch j.State {
+	case Quarantined:
+		return true
+	case Suspect:
+		return t.site.Group == "" || t.site.Group != j.Group
+	default:
+		return false
+	}
+}
+
+// partOfCrash is a part that is not cleared of a crash. previous is the time of the
+// latest earlier crash at which it was in flight, cleared or not; zero if there is none.
+type partOfCrash struct {
+	part     Fingerprint
+	crash    CrashID
+	previous time.Time
+}
+
+// unclearedParts returns the parts that are not cleared of a crash.
+func (l *List) unclearedParts() []partOfCrash {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire()
+	type occurrence struct {
+		crash CrashID
+		at    time.Time
+	}
+	occurrences := make(map[Fingerprint][]occurrence)
+	for key, c := range l.crashes {
+		for _, fp := range c.parts {
+			occurrences[fp] = append(occurrences[fp], occurrence{key.crash, c.expires.Add(-l.cfg.Keep)})
+		}
+	}
+	var out []partOfCrash
+	for fp, os := range occurrences {
+		slices.SortFunc(os, func(a, b occurrence) int {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.crash.String(), b.crash.String()))
+		})
+		var previous time.Time
+		for i, o := range os {
+			if i > 0 && os[i-1].crash != o.crash {
+				previous = os[i-1].at
+			}
+			if _, cleared := l.clears[clearKey{fp, o.crash}]; !cleared {
+				out = append(out, partOfCrash{fp, o.crash, previous})
+			}
+		}
+	}
+	return out
+}
+
+// hasReport reports whether a node has reported a crash.
+func (l *List) hasReport(id CrashID, reporter string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.crashes[reportKey{id, reporter}]
+	return ok
+}
+
+// clearOf clears a fingerprint of one crash.
+func (l *List) clearOf(fp Fingerprint, id CrashID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, c := range l.crashes {
+		if key.crash == id && c.has(fp) {
+			l.clears[clearKey{fp, id}] = clearFact{expires: c.expires}
+		}
+	}
+	l.recompute()
+}
--- a/quarantine/expire.go
+++ b/quarantine/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,11 +14,25 @@
 	if l.nextExpiry.IsZero() || now.Before(l.nextExpiry) {
 		return
 	}
-	maps.DeleteFunc(l.crashes, func(_ CrashID, c crashFact) bool { return !now.Before(c.expires) })
+	maps.DeleteFunc(l.crashes, func(_ reportKey, c crashFact) bool { return !now.Before(c.expires) })
 	maps.DeleteFunc(l.clears, func(_ clearKey, c clearFact) bool { return !now.Before(c.expires) })
+	maps.DeleteFunc(l.exchanged, func(key any, _ bool) bool { return !l.holds(key) })
 	l.recompute()
 }
 
+// holds reports whether there is a fact with a key.
+func (l *List) holds(key any) bool {
+	switch key := key.(type) {
+	case reportKey:
+		_, ok := l.crashes[key]
+		return ok
+	case clearKey:
+		_, ok := l.clears[key]
+		return ok
+	}
+	return false
+}
+
 // recompute deletes facts beyond the limits and computes the states again. It is
 // called after each change of the facts.
 func (l *List) recompute() {
@@ -25,25 +40,55 @@
 	trim(l.crashes, l.cfg.MaxCrashes, func(c crashFact) time.Time { return c.expires })
 	trim(l.clears, l.cfg.MaxClears, func(c clearFact) time.Time { return c.expires })
 	l.nextExpiry = time.Time{}
-	facts := make([]uncleared, 0, len(l.crashes))
-	for id, c := range l.crashes {
+	byID := make(map[CrashID]uncleared, len(l.crashes))
+	for key, c := range l.crashes {
 		l.nextExpiry = earlier(l.nextExpiry, c.expires)
-		f := make(uncleared, len(c.fingerprints))
-		for _, fp := range c.fingerprints {
-			if _, cleared := l.clears[clearKey{fp, id}]; !cleared {
-				f[fp] = true
-			}
+		if byID[key.crash] == nil {
+			byID[key.crash] = make(uncleared)
 		}
-		facts = append(facts, f)
+		l.addUncleared(byID[key.crash], key.crash, c.fingerprints, kindContent)
+		l.addUncleared(byID[key.crash], key.crash, c.parts, kindPart)
 	}
 	for _, c := range l.clears {
 		l.nextExpiry = earlier(l.nextExpiry, c.expires)
 	}
+	facts := slices.Collect(maps.Values(byID))
 	before := l.states
 	l.states = l.computeStates(facts)
+	l.together = refusedTogether(facts, l.states)
+	if l.cfg.SuspectFromSecondCrash {
+		dropFirstCrash(l.states, facts)
+	}
 	logChanges(before, l.states)
 }
 
+// addUncleared adds the fingerprints that are not cleared of a crash to c.
+func (l *List) addUncleared(c uncleared, id CrashID, fps []Fingerprint, k kind) {
+	for _, fp := range fps {
+		if _, cleared := l.clears[clearKey{fp, id}]; !cleared {
+			c[fp] = k
+		}
+	}
+}
+
+// dropFirstCrash deletes the suspicion of contents that were in flight at one crash
+// only.
+func dropFirstCrash(states map[Fingerprint]State, crashes []uncleared) {
+	count := make(map[Fingerprint]int)
+	for _, c := range crashes {
+		for fp, k := range c {
+			if k == kindContent {
+				count[fp]++
+			}
+		}
+	}
+	for fp, n := range count {
+		if n < minCrashes && states[fp] == Suspect {
+			delete(states, fp)
+		}
+	}
+}
+
 // trim deletes the facts that expire first until at most n remain.
 func trim[K comparable, V any](facts map[K]V, n int, expires func(V) time.Time) {
 	for len(facts) > n {
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -39,6 +39,12 @@
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
+// partFingerprint returns the fingerprint of a part of a prompt. It does not depend on the
+// organisation: a part crashes an engine whoever sends it.
+func partFingerprint(c Content, id string) Fingerprint {
+	return FingerprintOf(Content{Model: c.Model, Service: c.Service, Method: "prompt part", Body: []byte(id)})
+}
+
 // volatileFields are the top-level fields of a generation request that do not
 // affect what the engine computes. A caller may change them between repetitions.
 var volatileFields = []string{"stream", "stream_options", "user", "metadata", "store"}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -27,6 +27,10 @@
 	// that expire first are deleted.
 	MaxCrashes int
 	MaxClears  int
+	// SuspectFromSecondCrash makes whole requests suspects from their second crash
+	// only. An entry node that sends requests directly to endpoints may then send a
+	// request to another endpoint after a crash, of which it seldom is the cause.
+	SuspectFromSecondCrash bool
 }
 
 // ConfigError is returned for an invalid Config.
@@ -45,11 +49,24 @@
 	crash       CrashID
 }
 
+// reportKey identifies the report of one node on a crash.
+type reportKey struct {
+	crash    CrashID
+	reporter string
+}
+
 type crashFact struct {
 	fingerprints []Fingerprint
+	parts        []Fingerprint
+	group        string
+	established  bool
 	expires      time.Time
 }
 
+func (c crashFact) has(fp Fingerprint) bool {
+	return slices.Contains(c.fingerprints, fp) || slices.Contains(c.parts, fp)
+}
+
 type clearFact struct {
 	by      string
 	expires time.Time
@@ -61,12 +78,16 @@
 	cfg Config
 
 	mu      sync.Mutex
-	crashes map[CrashID]crashFact
+	crashes map[reportKey]crashFact
 	clears  map[clearKey]clearFact
 	// computeStates applies the rules; states is its result for the present
 	// facts.
 	computeStates func([]uncleared) map[Fingerprint]State
 	states        map[Fingerprint]State
+	// together is the result of refusedTogether for the present facts.
+	together [][]Fingerprint
+	// exchanged holds the keys of the facts that other nodes have.
+	exchanged map[any]bool
 	// nextExpiry is when the next fact expires.
 	nextExpiry time.Time
 	version    uint64
@@ -84,8 +105,9 @@
 	return &List{
 		cfg:           cfg,
 		computeStates: computeStates,
-		crashes:       make(map[CrashID]crashFact),
+		crashes:       make(map[reportKey]crashFact),
 		clears:        make(map[clearKey]clearFact),
+		exchanged:     make(map[any]bool),
 	}, nil
 }
 
@@ -137,9 +159,9 @@
 
 func (l *List) clear(fp Fingerprint, by string) bool {
 	found := false
-	for id, c := range l.crashes {
-		key := clearKey{fp, id}
-		if _, ok := l.clears[key]; ok || !slices.Contains(c.fingerprints, fp) {
+	for report, c := range l.crashes {
+		key := clearKey{fp, report.crash}
+		if _, ok := l.clears[key]; ok || !c.has(fp) {
 			continue
 		}
 		l.clears[key] = clearFact{by: by, expires: c.expires}
@@ -171,26 +193,45 @@
 	return added
 }
 
+// MergeFromPeer adds facts that another node has sent and reports whether any was new.
+func (l *List) MergeFromPeer(facts Facts) bool {
+	l.mu.Lock()
+	for _, c := range facts.Crashes {
+		l.exchanged[reportKey{c.ID, c.Reporter}] = true
+	}
+	for _, c := range facts.Clears {
+		l.exchanged[clearKey{c.Fingerprint, c.Crash}] = true
+	}
+	l.mu.Unlock()
+	return l.Merge(facts)
+}
+
 // mergeCrash adds a crash and reports whether it was new. For a known crash it
 // keeps the shorter remaining time: the other one is longer only by the delay of
 // its message.
 func (l *List) mergeCrash(c Crash, now time.Time) bool {
 	expires := now.Add(min(c.Remaining, l.cfg.Keep))
-	if known, ok := l.crashes[c.ID]; ok {
+	key := reportKey{c.ID, c.Reporter}
+	if known, ok := l.crashes[key]; ok {
 		known.expires = earlier(known.expires, expires)
-		l.crashes[c.ID] = known
+		l.crashes[key] = known
 		l.nextExpiry = earlier(l.nextExpiry, expires)
 		return false
 	}
-	if c.Remaining < minMergeRemaining || len(c.Fingerprints) > maxCrashFingerprints {
+	if c.Remaining < minMergeRemaining || len(c.Fingerprints)+len(c.Parts) > maxCrashFingerprints {
 		return false
 	}
-	fps := slices.Clone(c.Fingerprints)
-	slices.Sort(fps)
-	l.crashes[c.ID] = crashFact{fingerprints: slices.Compact(fps), expires: expires}
+	l.crashes[key] = crashFact{fingerprints: sorted(c.Fingerprints), parts: sorted(c.Parts), group: c.Group, established: c.Established, expires: expires}
 	return true
 }
 
+// sorted returns the distinct fingerprints in order.
+func sorted(fps []Fingerprint) []Fingerprint {
+	fps = slices.Clone(fps)
+	slices.Sort(fps)
+	return slices.Compact(fps)
+}
+
 func (l *List) mergeClear(c Clear, now time.Time) bool {
 	key := clearKey{c.Fingerprint, c.Crash}
 	expires := now.Add(min(c.Remaining, l.cfg.Keep))
@@ -216,8 +257,11 @@
 	l.expire()
 	now := time.Now()
 	var facts Facts
-	for id, c := range l.crashes {
-		facts.Crashes = append(facts.Crashes, Crash{ID: id, Fingerprints: slices.Clone(c.fingerprints), Remaining: c.expires.Sub(now)})
+	for key, c := range l.crashes {
+		facts.Crashes = append(facts.Crashes, Crash{
+			ID: key.crash, Reporter: key.reporter, Group: c.group, Established: c.established,
+			Fingerprints: slices.Clone(c.fingerprints), Parts: slices.Clone(c.parts), Remaining: c.expires.Sub(now),
+		})
 	}
 	for key, c := range l.clears {
 		facts.Clears = append(facts.Clears, Clear{Fingerprint: key.fingerprint, Crash: key.crash, By: c.by, Remaining: c.expires.Sub(now)})
@@ -241,14 +285,15 @@
 
 func (l *List) entry(fp Fingerprint) Entry {
 	e := Entry{Fingerprint: fp, State: l.states[fp]}
-	for id, c := range l.crashes {
-		if _, cleared := l.clears[clearKey{fp, id}]; cleared || !slices.Contains(c.fingerprints, fp) {
+	for key, c := range l.crashes {
+		if _, cleared := l.clears[clearKey{fp, key.crash}]; cleared || !c.has(fp) {
 			continue
 		}
-		e.Crashes = append(e.Crashes, id)
+		e.Crashes = append(e.Crashes, key.crash)
 		e.Remaining = max(e.Remaining, time.Until(c.expires))
 	}
 	slices.SortFunc(e.Crashes, func(a, b CrashID) int { return strings.Compare(a.String(), b.String()) })
+	e.Crashes = slices.Compact(e.Crashes)
 	return e
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,9 +14,24 @@
 //   - A crash is explained if a quarantined request was in flight. The other
 //     requests in flight are not suspects because of that crash.
 //
+// The same rules apply to the parts of prompts that several requests share, so that
+// requests with the same part are recognised although no two of them are alike. Parts
+// differ from whole requests in this:
+//
+//   - A part is in flight while a request with it waits for the first event of its
+//     answer, and is cleared by that event.
+//   - A node that recently got an answer to a request with the part clears it at once.
+//   - Parts that always occur together are never quarantined for the number of their
+//     crashes alone. A request that has all of them is refused; one that has only some
+//     may run as a suspect and shows which of them is the cause.
+//
 // Each suspect runs only at its trial endpoint, which all nodes compute in the
 // same way, and an endpoint runs one suspect at a time. The next crash then shows
 // which of them is the cause.
+//
+// A Gate applies the rules at an agent, through which all requests of its endpoint
+// pass. Attempts applies them at an entry node that sends requests directly to
+// endpoints.
 package quarantine
 
 import (
@@ -55,8 +70,8 @@
 	// minCrashes is the number of crashes that quarantine a request if no other
 	// request was in flight at all of them.
 	minCrashes = 2
-	// crashLimit is the number of crashes that quarantine a request whatever else
-	// was in flight.
+	// crashLimit is the number of crashes that quarantine a whole request whatever
+	// else was in flight.
 	crashLimit = 3
 )
 
@@ -76,8 +91,19 @@
 
 // Crash is the fact that an endpoint crashed with these requests in flight.
 type Crash struct {
-	ID           CrashID       `json:"id"`
+	ID CrashID `json:"id"`
+	// Reporter is the entry node that had the requests in flight. It is empty for the
+	// report of an agent, which knows all requests of its endpoint. The requests of a
+	// crash are those of all its reporters.
+	Reporter string `json:"reporter,omitempty"`
+	// Group is the endpoint's rank group, or empty.
+	Group        string        `json:"group,omitempty"`
 	Fingerprints []Fingerprint `json:"fingerprints"`
+	// Parts are the parts of these requests' prompts that other requests may share.
+	Parts []Fingerprint `json:"parts,omitempty"`
+	// Established is true if the reporter had answers to many requests before, so that
+	// a part without an answer is conspicuous.
+	Established bool `json:"established,omitempty"`
 	// Remaining is how much longer the fact is kept. It is a duration, because
 	// clocks of different nodes are not compared.
 	Remaining time.Duration `json:"remaining"`
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -1,8 +1,16 @@
 package quarantine
 
-// uncleared is the set of contents in flight at a crash that are not cleared of
-// it.
-type uncleared map[Fingerprint]bool
+// kind is what a fingerprint identifies.
+type kind int
+
+const (
+	kindContent kind = iota
+	kindPart
+)
+
+// uncleared is the set of contents and parts in flight at a crash that are not cleared
+// of it.
+type uncleared map[Fingerprint]kind
 
 // computeStates applies the rules of the package to the crashes. Contents that are
 // absent from the result are clean. It is a pure function.
@@ -19,10 +27,7 @@
 			out[fp] = Quarantined
 		}
 	}
-	for _, c := range crashes {
-		if isExplained(c, out) {
-			continue
-		}
+	for _, c := range unexplained(crashes, out) {
 		for fp := range c {
 			out[fp] = max(out[fp], Suspect)
 		}
@@ -33,23 +38,57 @@
 // mustQuarantine reports whether the crashes at which fp was in flight quarantine
 // it.
 func mustQuarantine(fp Fingerprint, cs []uncleared) bool {
-	if len(cs) >= crashLimit {
+	if len(cs) >= crashLimit && cs[0][fp] == kindContent {
 		return true
 	}
-	if len(cs) < minCrashes {
-		return false
-	}
+	return len(cs) >= minCrashes && len(inseparable(fp, cs)) == 1
+}
+
+// inseparable returns fp and the others that were in flight at all crashes at which fp
+// was.
+func inseparable(fp Fingerprint, cs []uncleared) []Fingerprint {
+	out := []Fingerprint{fp}
 	for other := range cs[0] {
 		if other != fp && inAll(other, cs[1:]) {
-			return false
+			out = append(out, other)
 		}
 	}
-	return true
+	return out
+}
+
+// refusedTogether returns the sets of contents and parts of which one certainly is the
+// cause of several crashes, though not which one. A request that has all of a set
+// must not run.
+func refusedTogether(crashes []uncleared, states map[Fingerprint]State) [][]Fingerprint {
+	crashesOf := make(map[Fingerprint][]uncleared)
+	for _, c := range unexplained(crashes, states) {
+		for fp := range c {
+			crashesOf[fp] = append(crashesOf[fp], c)
+		}
+	}
+	var sets [][]Fingerprint
+	for fp, cs := range crashesOf {
+		if len(cs) >= minCrashes {
+			sets = append(sets, inseparable(fp, cs))
+		}
+	}
+	return sets
+}
+
+// unexplained returns the crashes at which nothing quarantined was in flight.
+func unexplained(crashes []uncleared, states map[Fingerprint]State) []uncleared {
+	var out []uncleared
+	for _, c := range crashes {
+		if !isExplained(c, states) {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 func inAll(fp Fingerprint, cs []uncleared) bool {
 	for _, c := range cs {
-		if !c[fp] {
+		if _, ok := c[fp]; !ok {
 			return false
 		}
 	}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -61,6 +62,11 @@
 	StreamLength int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
+	// DeadlyPart is a part of prompts; empty for none. The endpoint calls Crash, which
+	// has to close its listener and connections, instead of beginning an answer to a
+	// request with it.
+	DeadlyPart string
+	Crash      func()
 
 	mu          sync.Mutex
 	id          string
@@ -136,6 +142,10 @@
 		return
 	}
 	run := e.recordRun(id, r, string(body))
+	if e.DeadlyPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), e.DeadlyPart+":") {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	e.answer(w, r, run, fault)
 }
 
