--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -16,7 +16,7 @@
 	answeredWindow = 10 * time.Minute
 	// establishedAnswers is the number of answers after which a node knows enough parts
 	// that do not crash endpoints for one that it does not know to be conspicuous.
-	establishedAnswers = 20
+	establishedAnswers = 10
 	// lateEndWindow is how long an attempt that ended without an answer still counts as
 	// in flight. The caller may leave just before the crash is noticed.
 	lateEndWindow = 250 * time.Millisecond
@@ -76,6 +76,7 @@
 	request  *Request
 	// withdraw cancels the attempt. It may be called more than once.
 	withdraw func()
+	begun    time.Time
 	// done is true once the attempt no longer waits.
 	done    bool
 	endedAt time.Time
@@ -83,7 +84,7 @@
 
 // Begin records that a request is about to be sent to an endpoint.
 func (a *Attempts) Begin(site Site, r *Request, withdraw func()) *Attempt {
-	t := &Attempt{attempts: a, site: site, request: r, withdraw: withdraw}
+	t := &Attempt{attempts: a, site: site, request: r, withdraw: withdraw, begun: time.Now()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	id := site.crashID()
@@ -194,25 +195,27 @@
 		return false
 	}
 	c := Crash{ID: site.crashID(), Reporter: a.reporter, Group: site.Group, Established: a.established(), Remaining: a.list.cfg.Keep}
-	for _, t := range inFlight {
+	for t, waited := range inFlight {
 		c.Fingerprints = append(c.Fingerprints, t.request.content())
-		c.Parts = append(c.Parts, t.request.parts...)
+		for _, fp := range t.request.parts {
+			c.Parts = append(c.Parts, WaitingPart{fp, waited})
+		}
 	}
 	counts.Add("crashes", 1)
 	return a.list.Merge(Facts{Crashes: []Crash{c}})
 }
 
-// inFlight returns the attempts in flight at a crash.
-func (a *Attempts) inFlight(id CrashID) []*Attempt {
+// inFlight returns the attempts in flight at a crash and how long they had waited.
+func (a *Attempts) inFlight(id CrashID) map[*Attempt]time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []*Attempt
+	out := make(map[*Attempt]time.Duration)
 	for t := range a.waiting[id] {
-		out = append(out, t)
+		out[t] = time.Since(t.begun)
 	}
 	for _, t := range a.ended {
 		if t.site.crashID() == id && time.Since(t.endedAt) <= lateEndWindow {
-			out = append(out, t)
+			out[t] = t.endedAt.Sub(t.begun)
 		}
 	}
 	return out
@@ -289,7 +292,7 @@
 	}
 	occurrences := make(map[Fingerprint][]occurrence)
 	for key, c := range l.crashes {
-		for _, fp := range c.parts {
+		for fp := range c.parts {
 			occurrences[fp] = append(occurrences[fp], occurrence{key.crash, c.expires.Add(-l.cfg.Keep)})
 		}
 	}
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -360,6 +360,21 @@
 	})
 }
 
+// TestContentDoesNotExplainParts guards against a deadly part that is freed because another
+// request, which was sent again after the crash, was in flight at the next one too.
+func TestContentDoesNotExplainParts(t *testing.T) {
+	l := newPartList(t)
+	retried := newPartRequest("retried")
+	first, second := crashOf(0, "g0", newPartRequest("x", "bad")), crashOf(1, "g0")
+	first.Crashes[0].Fingerprints = []Fingerprint{retried.content(), newPartRequest("x").content()}
+	second.Crashes[0].Fingerprints = []Fingerprint{retried.content(), newPartRequest("y").content()}
+	l.Merge(first)
+	l.Merge(second)
+	assert.Equal(t, l.Judge(retried).State, Quarantined)
+	assert.Equal(t, l.Judge(newPartRequest("x")).State, Clean)
+	assert.Equal(t, l.Judge(newPartRequest("later", "bad")).State, Suspect)
+}
+
 // TestLastSuspectWaits guards against a trial that stops a group again although all other
 // suspects of the crash were cleared.
 func TestLastSuspectWaits(t *testing.T) {
@@ -379,6 +394,22 @@
 	})
 }
 
+// TestLongestWaitingIsTriedLast guards against a second crash because the cause is tried
+// before the requests that had not waited long enough to begin.
+func TestLongestWaitingIsTriedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList(t, 10)
+		sites := []TrialSite{{"a", "g0"}}
+		l.Merge(crashOf(0, "g0", newPartRequest("x", "new"), newPartRequest("y", "newer"), newPartRequest("z", "bad")))
+		tried := func(part string) bool { return SelectTrial(l.Judge(newPartRequest("later", part)), sites) == 0 }
+		assert.Assert(t, tried("new") && !tried("newer") && !tried("bad"))
+		l.RecordAnswer(newPartRequest("x", "new").parts[0])
+		assert.Assert(t, tried("newer") && !tried("bad"))
+		time.Sleep(2 * trialTurn)
+		assert.Assert(t, tried("bad"), "a suspect waits for ever if nobody sends the one before it")
+	})
+}
+
 // TestPartThatTurnsDeadly guards against a part that is cleared of each crash by answers
 // from before the first one.
 func TestPartThatTurnsDeadly(t *testing.T) {
@@ -424,11 +455,14 @@
 	return NewRequest(Content{Model: "m", Body: []byte(body)}, parts)
 }
 
-// crashOf returns the fact that an endpoint of a group crashed with requests in flight.
+// crashOf returns the fact that an endpoint of a group crashed with requests in flight, of
+// which each had waited longer than the one before it.
 func crashOf(number uint32, group string, requests ...*Request) Facts {
 	c := Crash{ID: CrashID{Endpoint: "crashed", Number: number}, Reporter: "other", Group: group, Remaining: time.Hour}
-	for _, r := range requests {
-		c.Parts = append(c.Parts, r.parts...)
+	for i, r := range requests {
+		for _, fp := range r.parts {
+			c.Parts = append(c.Parts, WaitingPart{Fingerprint: fp, Waited: time.Duration(i+1) * time.Millisecond})
+		}
 	}
 	return Facts{Crashes: []Crash{c}}
 }
--- a/quarantine/expire.go
+++ b/quarantine/expire.go
@@ -47,7 +47,7 @@
 			byID[key.crash] = make(uncleared)
 		}
 		l.addUncleared(byID[key.crash], key.crash, c.fingerprints, kindContent)
-		l.addUncleared(byID[key.crash], key.crash, c.parts, kindPart)
+		l.addUncleared(byID[key.crash], key.crash, slices.Collect(maps.Keys(c.parts)), kindPart)
 	}
 	for _, c := range l.clears {
 		l.nextExpiry = earlier(l.nextExpiry, c.expires)
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +40,11 @@
 	Age   time.Duration
 	// Crashed are the endpoints that crashed with a suspect in flight.
 	Crashed []string
+	// Rank is the number of suspects of the latest crash whose requests had waited for
+	// a shorter time than those with this request's suspects. Engines begin the answers
+	// mostly in the order of the requests, so the cause is probably among those that
+	// waited longest.
+	Rank int
 	// Alone is true if that crash has no other suspects although its reporter knew
 	// many parts that do not crash endpoints.
 	Alone bool
@@ -100,17 +107,39 @@
 		}
 	}
 	j.Age = l.cfg.Keep - time.Until(latest)
-	rivals := false
+	waited := make(map[Fingerprint]time.Duration)
 	for key, c := range l.crashes {
 		if key.crash != id {
 			continue
 		}
 		j.Alone = j.Alone || c.established
-		for _, fp := range slices.Concat(c.fingerprints, c.parts) {
-			rivals = rivals || (fp != j.Suspects[0] && l.isSuspectOf(fp, id))
+		for _, fp := range c.fingerprints {
+			if l.isSuspectOf(fp, id) {
+				waited[fp] = max(waited[fp], 0)
+			}
+		}
+		for fp, d := range c.parts {
+			if l.isSuspectOf(fp, id) {
+				waited[fp] = max(waited[fp], d)
+			}
+		}
+	}
+	j.Alone = j.Alone && len(waited) == 1
+	j.Rank = rank(waited, j.Suspects)
+}
+
+// rank returns how many fingerprints come before all of own in the order of the times.
+// Equal times are ordered by the fingerprint.
+func rank(waited map[Fingerprint]time.Duration, own []Fingerprint) int {
+	order := slices.SortedFunc(maps.Keys(waited), func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(waited[a], waited[b]), cmp.Compare(a, b))
+	})
+	for i, fp := range order {
+		if slices.Contains(own, fp) {
+			return i
 		}
 	}
-	j.Alone = j.Alone && !rivals
+	return 0
 }
 
 // isSuspectOf reports whether a fingerprint is a suspect and not cleared of a crash.
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -57,14 +57,16 @@
 
 type crashFact struct {
 	fingerprints []Fingerprint
-	parts        []Fingerprint
-	group        string
-	established  bool
-	expires      time.Time
+	// parts holds how long requests with each part had waited at most.
+	parts       map[Fingerprint]time.Duration
+	group       string
+	established bool
+	expires     time.Time
 }
 
 func (c crashFact) has(fp Fingerprint) bool {
-	return slices.Contains(c.fingerprints, fp) || slices.Contains(c.parts, fp)
+	_, isPart := c.parts[fp]
+	return isPart || slices.Contains(c.fingerprints, fp)
 }
 
 type clearFact struct {
@@ -221,7 +223,11 @@
 	if c.Remaining < minMergeRemaining || len(c.Fingerprints)+len(c.Parts) > maxCrashFingerprints {
 		return false
 	}
-	l.crashes[key] = crashFact{fingerprints: sorted(c.Fingerprints), parts: sorted(c.Parts), group: c.Group, established: c.Established, expires: expires}
+	parts := make(map[Fingerprint]time.Duration, len(c.Parts))
+	for _, p := range c.Parts {
+		parts[p.Fingerprint] = max(parts[p.Fingerprint], p.Waited)
+	}
+	l.crashes[key] = crashFact{fingerprints: sorted(c.Fingerprints), parts: parts, group: c.Group, established: c.Established, expires: expires}
 	return true
 }
 
@@ -258,10 +264,14 @@
 	now := time.Now()
 	var facts Facts
 	for key, c := range l.crashes {
-		facts.Crashes = append(facts.Crashes, Crash{
+		crash := Crash{
 			ID: key.crash, Reporter: key.reporter, Group: c.group, Established: c.established,
-			Fingerprints: slices.Clone(c.fingerprints), Parts: slices.Clone(c.parts), Remaining: c.expires.Sub(now),
-		})
+			Fingerprints: slices.Clone(c.fingerprints), Remaining: c.expires.Sub(now),
+		}
+		for fp, waited := range c.parts {
+			crash.Parts = append(crash.Parts, WaitingPart{fp, waited})
+		}
+		facts.Crashes = append(facts.Crashes, crash)
 	}
 	for key, c := range l.clears {
 		facts.Clears = append(facts.Clears, Clear{Fingerprint: key.fingerprint, Crash: key.crash, By: c.by, Remaining: c.expires.Sub(now)})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -100,7 +100,7 @@
 	Group        string        `json:"group,omitempty"`
 	Fingerprints []Fingerprint `json:"fingerprints"`
 	// Parts are the parts of these requests' prompts that other requests may share.
-	Parts []Fingerprint `json:"parts,omitempty"`
+	Parts []WaitingPart `json:"parts,omitempty"`
 	// Established is true if the reporter had answers to many requests before, so that
 	// a part without an answer is conspicuous.
 	Established bool `json:"established,omitempty"`
@@ -109,6 +109,13 @@
 	Remaining time.Duration `json:"remaining"`
 }
 
+// WaitingPart is a part of the prompt of a request that was in flight at a crash.
+type WaitingPart struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Waited is how long the request had waited for its answer.
+	Waited time.Duration `json:"waited"`
+}
+
 // Clear is the fact that a request did not cause a crash.
 type Clear struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
--- a/quarantine/rules.go
+++ b/quarantine/rules.go
@@ -27,7 +27,7 @@
 			out[fp] = Quarantined
 		}
 	}
-	for _, c := range unexplained(crashes, out) {
+	for _, c := range withoutExplained(crashes, out) {
 		for fp := range c {
 			out[fp] = max(out[fp], Suspect)
 		}
@@ -61,7 +61,7 @@
 // must not run.
 func refusedTogether(crashes []uncleared, states map[Fingerprint]State) [][]Fingerprint {
 	crashesOf := make(map[Fingerprint][]uncleared)
-	for _, c := range unexplained(crashes, states) {
+	for _, c := range withoutExplained(crashes, states) {
 		for fp := range c {
 			crashesOf[fp] = append(crashesOf[fp], c)
 		}
@@ -75,12 +75,22 @@
 	return sets
 }
 
-// unexplained returns the crashes at which nothing quarantined was in flight.
-func unexplained(crashes []uncleared, states map[Fingerprint]State) []uncleared {
+// withoutExplained returns the crashes without the contents and parts that a quarantined
+// one explains. A content explains other contents only: a request that is sent again after
+// a crash may be in flight at the next one by chance, and the parts that it would free may
+// cause many more.
+func withoutExplained(crashes []uncleared, states map[Fingerprint]State) []uncleared {
 	var out []uncleared
 	for _, c := range crashes {
-		if !isExplained(c, states) {
-			out = append(out, c)
+		left := make(uncleared)
+		byContent, byPart := isExplained(c, states, kindContent), isExplained(c, states, kindPart)
+		for fp, k := range c {
+			if !byPart && !(byContent && k == kindContent) {
+				left[fp] = k
+			}
+		}
+		if len(left) > 0 {
+			out = append(out, left)
 		}
 	}
 	return out
@@ -95,9 +105,10 @@
 	return true
 }
 
-func isExplained(c uncleared, states map[Fingerprint]State) bool {
-	for fp := range c {
-		if states[fp] == Quarantined {
+// isExplained reports whether something of a kind that is quarantined was in flight.
+func isExplained(c uncleared, states map[Fingerprint]State, k kind) bool {
+	for fp, of := range c {
+		if of == k && states[fp] == Quarantined {
 			return true
 		}
 	}
--- a/quarantine/trialendpoint.go
+++ b/quarantine/trialendpoint.go
@@ -50,6 +50,10 @@
 	// left does not run. All others were cleared, so it very probably is the cause, and a
 	// rank group that its trial stops takes up to ten seconds to work off what waited.
 	lastSuspectPeriod = 30 * time.Second
+	// trialTurn is the time by which the trial of each suspect of a crash comes later than
+	// that of the suspect before it. An engine is back after some seconds, and one answer
+	// clears a suspect.
+	trialTurn = 4 * time.Second
 )
 
 // TrialIn returns the time until a suspect may run; it is not positive if it may now.
@@ -59,6 +63,8 @@
 		return lastSuspectPeriod - j.Age
 	case len(j.Suspects) > 1:
 		return severalSuspectsPeriod - j.Age
+	case j.Rank > 0:
+		return time.Duration(j.Rank+1)*trialTurn - j.Age
 	default:
 		return 0
 	}
