--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,9 +23,10 @@
 	// compareInterval is the time between two comparisons of the facts with another entry
 	// node.
 	compareInterval = 500 * time.Millisecond
-	// startPeriod is the time after the start in which facts are compared although there
-	// are none, so that a node that starts again learns them.
-	startPeriod = 5 * time.Second
+	// askInterval is the time between two questions of a node that has just started, and
+	// startPeriod the time after which it serves without an answer.
+	askInterval = 40 * time.Millisecond
+	startPeriod = time.Second
 	// maxClearDelay bounds the random delay of a broadcast that clears only. Many nodes
 	// clear the same part at the same time, and most need not say so once one has.
 	maxClearDelay = 8 * time.Millisecond
@@ -51,6 +53,8 @@
 	log      *slog.Logger
 	// changed holds a value while facts of this node wait to be broadcast.
 	changed chan struct{}
+	// synced is true once the facts of another node have arrived, or did not for long.
+	synced atomic.Bool
 }
 
 func newCrashes(node, address string, g *gossip.Gossiper, loads *outstanding.Tracker, log *slog.Logger) *crashes {
@@ -79,12 +83,35 @@
 	From string
 	// Digest is that of the sender's facts, zero if it need not be compared.
 	Digest uint64
-	Facts  quarantine.Facts
+	// Starting is true if the sender has just started; it gets an answer in any case.
+	// Answer is true for that answer.
+	Starting, Answer bool
+	Facts            quarantine.Facts
+}
+
+// askAtStart asks other entry nodes for their facts until one answers or startPeriod is
+// over. A node that starts again must not send a request to endpoints that the others
+// know to crash them.
+func (c *crashes) askAtStart(ctx context.Context) {
+	defer c.synced.Store(true)
+	ask := time.NewTicker(askInterval)
+	defer ask.Stop()
+	ctx, cancel := context.WithTimeout(ctx, startPeriod)
+	defer cancel()
+	for !c.synced.Load() {
+		if to := c.gossip.RandomEntry(); to != "" {
+			c.send(to, note{From: c.address, Digest: c.list.Digest(), Starting: true})
+		}
+		select {
+		case <-ask.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // run broadcasts new facts and compares the facts with other nodes until ctx ends.
 func (c *crashes) run(ctx context.Context) {
-	started := time.Now()
 	compare := time.NewTicker(compareInterval)
 	defer compare.Stop()
 	for {
@@ -95,7 +122,7 @@
 			}
 			c.broadcast(c.list.TakeNew())
 		case <-compare.C:
-			if !c.list.Empty() || time.Since(started) < startPeriod {
+			if !c.list.Empty() {
 				c.compare()
 			}
 		case <-ctx.Done():
@@ -154,6 +181,12 @@
 	if len(n.Facts.Crashes)+len(n.Facts.Clears) > 0 {
 		c.merge(n.Facts)
 	}
+	if n.Answer {
+		c.synced.Store(true)
+	}
+	if n.Starting && n.Digest == c.list.Digest() {
+		c.send(n.From, note{From: c.address, Answer: true})
+	}
 	if n.Digest == 0 || n.Digest == c.list.Digest() {
 		return
 	}
@@ -163,7 +196,7 @@
 		digest = c.list.Digest()
 	}
 	for _, part := range c.list.Facts().Split(maxNoteFacts) {
-		c.send(n.From, note{From: c.address, Digest: digest, Facts: part})
+		c.send(n.From, note{From: c.address, Digest: digest, Answer: n.Starting, Facts: part})
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,6 +184,11 @@
 	g.runInBackground(ctx, g.gossip.Run)
 	g.runInBackground(ctx, g.pool.Run)
 	g.runInBackground(ctx, g.crashes.run)
+	if s.FirstStart {
+		g.crashes.synced.Store(true)
+	} else {
+		g.runInBackground(ctx, g.crashes.askAtStart)
+	}
 	return g, nil
 }
 
@@ -274,8 +279,8 @@
 	}
 }
 
-// Ready reports whether the node can serve requests: it has a configuration and
-// endpoints, and is not stopping.
+// Ready reports whether the node can serve requests: it has a configuration, endpoints
+// and the other nodes' facts about crashes, and is not stopping.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.table.Load() != nil && len(g.endpoints.Load().All()) > 0
+	return g.crashes.synced.Load() && !g.draining.Load() && g.table.Load() != nil && len(g.endpoints.Load().All()) > 0
 }
