--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -49,6 +49,7 @@
 	list     *quarantine.List
 	attempts *quarantine.Attempts
 	gossip   *gossip.Gossiper
+	registry *gossip.Registry
 	loads    *outstanding.Tracker
 	log      *slog.Logger
 	// changed holds a value while facts of this node wait to be broadcast.
@@ -57,13 +58,13 @@
 	synced atomic.Bool
 }
 
-func newCrashes(node, address string, g *gossip.Gossiper, loads *outstanding.Tracker, log *slog.Logger) *crashes {
+func newCrashes(node, address string, g *gossip.Gossiper, registry *gossip.Registry, loads *outstanding.Tracker, log *slog.Logger) *crashes {
 	list, err := quarantine.NewList(quarantineConfig)
 	if err != nil {
 		// The configuration is constant and valid.
 		panic(err)
 	}
-	c := &crashes{address: address, list: list, gossip: g, loads: loads, log: log, changed: make(chan struct{}, 1)}
+	c := &crashes{address: address, list: list, gossip: g, registry: registry, loads: loads, log: log, changed: make(chan struct{}, 1)}
 	c.attempts = quarantine.NewAttempts(list, node, c.wake)
 	g.OnNote(c.receive)
 	return c
@@ -99,7 +100,12 @@
 	ctx, cancel := context.WithTimeout(ctx, startPeriod)
 	defer cancel()
 	for !c.synced.Load() {
-		if to := c.gossip.RandomEntry(); to != "" {
+		to := c.gossip.RandomEntry()
+		if to == "" && c.registry.Follower().AwaitCopy(ctx, askInterval) && c.gossip.RandomEntry() == "" {
+			// There is no other entry node.
+			return
+		}
+		if to != "" {
 			c.send(to, note{From: c.address, Digest: c.list.Digest(), Starting: true})
 		}
 		select {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -170,7 +170,7 @@
 		Name: s.Node, Kind: gossip.KindEntry, Address: s.PeerAddress, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
 	g.gossip = gossip.NewGossiper(s.PeerAddress, s.Seeds, g.registry, []*follow.Follower{g.configFollower, g.endpointsFollower, g.registry.Follower()}, log, g.setLoadReports)
-	g.crashes = newCrashes(s.Node, s.PeerAddress, g.gossip, g.loads, log)
+	g.crashes = newCrashes(s.Node, s.PeerAddress, g.gossip, g.registry, g.loads, log)
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -40,7 +40,7 @@
 	Age   time.Duration
 	// Crashed are the endpoints that crashed with a suspect in flight.
 	Crashed []string
-	// Rank is the number of suspects of the latest crash whose requests had waited for
+	// Rank is the number of suspect parts of the latest crash whose requests had waited for
 	// a shorter time than those with this request's suspects. Engines begin the answers
 	// mostly in the order of the requests, so the cause is probably among those that
 	// waited longest.
@@ -107,7 +107,7 @@
 		}
 	}
 	j.Age = l.cfg.Keep - time.Until(latest)
-	waited := make(map[Fingerprint]time.Duration)
+	contents, waited := 0, make(map[Fingerprint]time.Duration)
 	for key, c := range l.crashes {
 		if key.crash != id {
 			continue
@@ -115,7 +115,7 @@
 		j.Alone = j.Alone || c.established
 		for _, fp := range c.fingerprints {
 			if l.isSuspectOf(fp, id) {
-				waited[fp] = max(waited[fp], 0)
+				contents++
 			}
 		}
 		for fp, d := range c.parts {
@@ -124,7 +124,7 @@
 			}
 		}
 	}
-	j.Alone = j.Alone && len(waited) == 1
+	j.Alone = j.Alone && contents+len(waited) == 1
 	j.Rank = rank(waited, j.Suspects)
 }
 
