--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -72,6 +72,9 @@
 		return r.broken(ctx, err)
 	}
 	answer := r.f.codec.DecodeAnswer(resp.StatusCode, resp.Header)
+	if !answer.Misdirected {
+		r.watch.RateLimit(answer.RateLimit)
+	}
 	if answer.NotRun {
 		r.watch.Answered(false)
 		return r.rejected(conn, resp, answer)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,9 @@
 	// RetryAfter is the delay that the endpoint suggests before a retry; zero for
 	// none.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests per second that the endpoint accepts from all
+	// entry nodes together; zero for no limit.
+	RateLimit float64
 }
 
 // Codec encodes and decodes the headers exchanged with endpoints.
@@ -129,6 +132,9 @@
 	Answered(ran bool)
 	// ConnectionLost marks that the connection failed before any answer.
 	ConnectionLost()
+	// RateLimit is called with each answer of the endpoint and the number of requests per
+	// second that it accepts from all entry nodes together; zero for no limit.
+	RateLimit(perSecond float64)
 	// End marks the end of the attempt.
 	End()
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -277,6 +277,13 @@
 	w.g.crashes.attempts.RecordCrash(site)
 }
 
+// RateLimit implements forward.Watch.
+func (w *watch) RateLimit(perSecond float64) {
+	if w.g.pacer.Observe(pacedEndpoint(w.target.Endpoint), perSecond, time.Now()) {
+		w.g.log.Info("endpoint states another rate limit", "request", w.req.ID, "endpoint", w.target.ID, "service", w.target.Service, "requests_per_second", perSecond)
+	}
+}
+
 // End implements forward.Watch.
 func (w *watch) End() {
 	w.g.loads.End(w.target.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/outstanding"
+	"github.com/cyclamenpoint/cyclamenpoint/pacing"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 	"github.com/cyclamenpoint/cyclamenpoint/upstream"
@@ -124,6 +126,7 @@
 	registry          *gossip.Registry
 	gossip            *gossip.Gossiper
 	crashes           *crashes
+	pacer             *pacing.Pacer
 
 	draining   atomic.Bool
 	inFlight   atomic.Int64
@@ -161,6 +164,7 @@
 	}
 	g.endpoints.Store(discovery.NewSet(nil))
 	g.budgets.SetNodes(unknownNodes)
+	g.pacer = pacing.New(rand.IntN(unknownNodes), unknownNodes)
 	g.forwarder = forward.New(protocol, &endpointPicker{g}, g.pool, g.budgets, log)
 	g.configFollower = follow.New(s.Tables.Config, store, configTiming, log, g.setConfig)
 	timing := endpointTiming
@@ -255,6 +259,10 @@
 	}
 	g.loads.SetEndpoints(byAddress)
 	g.endpoints.Store(set)
+	g.pacer.Retain(func(e pacing.Endpoint) bool {
+		listed, ok := set.Find(e.ID)
+		return ok && pacedEndpoint(listed) == e
+	})
 }
 
 // setNodes applies a new list of the system's own processes.
