--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -125,8 +124,9 @@
 	endpointsFollower *follow.Follower
 	registry          *gossip.Registry
 	gossip            *gossip.Gossiper
+	notes             *notes
 	crashes           *crashes
-	pacer             *pacing.Pacer
+	limits            *limits
 
 	draining   atomic.Bool
 	inFlight   atomic.Int64
@@ -164,7 +164,6 @@
 	}
 	g.endpoints.Store(discovery.NewSet(nil))
 	g.budgets.SetNodes(unknownNodes)
-	g.pacer = pacing.New(rand.IntN(unknownNodes), unknownNodes)
 	g.forwarder = forward.New(protocol, &endpointPicker{g}, g.pool, g.budgets, log)
 	g.configFollower = follow.New(s.Tables.Config, store, configTiming, log, g.setConfig)
 	timing := endpointTiming
@@ -174,7 +173,9 @@
 		Name: s.Node, Kind: gossip.KindEntry, Address: s.PeerAddress, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
 	g.gossip = gossip.NewGossiper(s.PeerAddress, s.Seeds, g.registry, []*follow.Follower{g.configFollower, g.endpointsFollower, g.registry.Follower()}, log, g.setLoadReports)
-	g.crashes = newCrashes(s.Node, s.PeerAddress, g.gossip, g.registry, g.loads, log)
+	g.notes = newNotes(s.PeerAddress, g.gossip, g.registry, log)
+	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
+	g.limits = newLimits(g.notes, log)
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -189,9 +190,9 @@
 	g.runInBackground(ctx, g.pool.Run)
 	g.runInBackground(ctx, g.crashes.run)
 	if s.FirstStart {
-		g.crashes.synced.Store(true)
+		g.notes.synced.Store(true)
 	} else {
-		g.runInBackground(ctx, g.crashes.askAtStart)
+		g.runInBackground(ctx, g.notes.askAtStart)
 	}
 	return g, nil
 }
@@ -259,7 +260,7 @@
 	}
 	g.loads.SetEndpoints(byAddress)
 	g.endpoints.Store(set)
-	g.pacer.Retain(func(e pacing.Endpoint) bool {
+	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
 		listed, ok := set.Find(e.ID)
 		return ok && pacedEndpoint(listed) == e
 	})
@@ -267,14 +268,19 @@
 
 // setNodes applies a new list of the system's own processes.
 func (g *Gateway) setNodes(nodes []gossip.Node) {
-	entries := 0
+	entries, turn := 0, 0
 	for i := range nodes {
-		if nodes[i].Kind == gossip.KindEntry {
-			entries++
+		if nodes[i].Kind != gossip.KindEntry {
+			continue
+		}
+		entries++
+		if nodes[i].Name < g.settings.Node {
+			turn++
 		}
 	}
 	g.budgets.SetNodes(entries)
 	g.loads.SetNodes(entries)
+	g.limits.pacer.SetNodes(turn, entries)
 }
 
 // setLoadReports stores the load reports of agents of rank groups.
@@ -288,7 +294,7 @@
 }
 
 // Ready reports whether the node can serve requests: it has a configuration, endpoints
-// and the other nodes' facts about crashes, and is not stopping.
+// and what the other nodes know about endpoints, and is not stopping.
 func (g *Gateway) Ready() bool {
-	return g.crashes.synced.Load() && !g.draining.Load() && g.table.Load() != nil && len(g.endpoints.Load().All()) > 0
+	return g.notes.synced.Load() && !g.draining.Load() && g.table.Load() != nil && len(g.endpoints.Load().All()) > 0
 }
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -32,7 +32,7 @@
 	case quarantine.Suspect:
 		p.restrictToTrial(judgement, listed, reported)
 	}
-	choice := picker.DefaultReportPolicy.Choose(reported, p.workOf(req, now), syncrand.New())
+	choice, nextSlot := p.choose(listed, reported, p.workOf(req, now), now)
 	if choice.Index < 0 && judgement.State == quarantine.Suspect {
 		return forward.Target{}, &forward.NoEndpointError{
 			Reason:     fmt.Sprintf("request may crash endpoints and its trial endpoint cannot take it: suspects %d, group %s, age %s", len(judgement.Suspects), judgement.Group, judgement.Age),
@@ -41,8 +41,9 @@
 	}
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.NoEndpointError{
-			Reason:     fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, too slow %d, tried %d", len(listed), choice.Usable, choice.Full, choice.TooSlow, len(tried)),
-			RetryAfter: retryAfter(choice.Full > 0), MayRecover: choice.Full+choice.TooSlow == 0,
+			Reason:     fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, too slow %d, tried %d, next slot of a limited one in %s", len(listed), choice.Usable, choice.Full, choice.TooSlow, len(tried), nextSlot),
+			RetryAfter: max(retryAfter(choice.Full > 0), nextSlot),
+			MayRecover: choice.Full+choice.TooSlow == 0 && nextSlot <= maxSlotWait,
 		}
 	}
 	return forward.Target{
@@ -51,6 +52,34 @@
 	}, nil
 }
 
+// maxSlotWait is the longest time until the next slot of an endpoint that limits its
+// requests for which a request waits; otherwise it is refused at once.
+const maxSlotWait = time.Second
+
+// choose picks an endpoint and uses one of its slots if it limits its requests. nextSlot
+// is the time until the first slot of the endpoints that could be chosen otherwise, zero
+// if there are none.
+func (p *endpointPicker) choose(listed []discovery.Endpoint, reported []picker.ReportedEndpoint, work picker.Work, now time.Time) (choice picker.Choice, nextSlot time.Duration) {
+	for i := range reported {
+		wait := p.g.limits.pacer.Wait(pacedEndpoint(listed[i]), now)
+		if wait == 0 || reported[i].Excluded || reported[i].Tried {
+			continue
+		}
+		reported[i].Excluded = true
+		if nextSlot == 0 || wait < nextSlot {
+			nextSlot = wait
+		}
+	}
+	for {
+		choice = picker.DefaultReportPolicy.Choose(reported, work, syncrand.New())
+		if choice.Index < 0 || p.g.limits.pacer.Take(pacedEndpoint(listed[choice.Index]), now) {
+			return choice, nextSlot
+		}
+		// Another request has used the slot.
+		reported[choice.Index].Excluded = true
+	}
+}
+
 // factDelay is the time within which other nodes may show that a request did not cause a
 // crash.
 const factDelay = 100 * time.Millisecond
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -17,6 +17,8 @@
 	// establishedAnswers is the number of answers after which a node knows enough parts
 	// that do not crash endpoints for one that it does not know to be conspicuous.
 	establishedAnswers = 10
+	// maxReportedRequests bounds the requests in a report of a crash.
+	maxReportedRequests = 64
 	// lateEndWindow is how long an attempt that ended without an answer still counts as
 	// in flight. The caller may leave just before the crash is noticed.
 	lateEndWindow = 250 * time.Millisecond
@@ -196,6 +198,9 @@
 	}
 	c := Crash{ID: site.crashID(), Reporter: a.reporter, Group: site.Group, Established: a.established(), Remaining: a.list.cfg.Keep}
 	for t, waited := range inFlight {
+		if len(c.Fingerprints) == maxReportedRequests {
+			break
+		}
 		c.Fingerprints = append(c.Fingerprints, t.request.content())
 		for _, fp := range t.request.parts {
 			c.Parts = append(c.Parts, WaitingPart{fp, waited})
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -52,14 +52,27 @@
 	return out
 }
 
-// Split divides facts into sets of at most n facts.
+// Split divides facts into sets with at most n fingerprints, or with one fact.
 func (f Facts) Split(n int) []Facts {
 	var out []Facts
-	for len(f.Crashes)+len(f.Clears) > 0 {
-		c := min(n, len(f.Crashes))
-		k := min(n-c, len(f.Clears))
-		out = append(out, Facts{Crashes: f.Crashes[:c], Clears: f.Clears[:k]})
-		f.Crashes, f.Clears = f.Crashes[c:], f.Clears[k:]
+	var part Facts
+	size := 0
+	add := func(weight int) {
+		if size > 0 && size+weight > n {
+			out, part, size = append(out, part), Facts{}, 0
+		}
+		size += weight
+	}
+	for _, c := range f.Crashes {
+		add(1 + len(c.Fingerprints) + len(c.Parts))
+		part.Crashes = append(part.Crashes, c)
+	}
+	for _, c := range f.Clears {
+		add(1)
+		part.Clears = append(part.Clears, c)
+	}
+	if size > 0 {
+		out = append(out, part)
 	}
 	return out
 }
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -62,6 +62,9 @@
 	StreamLength int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
+	// RateLimit is the number of requests per second that answers state as the limit of
+	// all entry nodes; empty for none.
+	RateLimit string
 	// DeadlyPart is a part of prompts; empty for none. The endpoint calls Crash, which
 	// has to close its listener and connections, instead of beginning an answer to a
 	// request with it.
@@ -123,6 +126,9 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
+	if e.RateLimit != "" {
+		w.Header().Set("Server-Limit", e.RateLimit)
+	}
 	e.mu.Lock()
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
