--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -11,6 +11,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
+	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/outstanding"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
@@ -167,10 +168,6 @@
 // Begin implements forward.Picker.
 func (p *endpointPicker) Begin(req *forward.Request, target forward.Target, withdraw func()) forward.Watch {
 	p.g.loads.Begin(target.ID)
-	if req.Match.Route.Repeat != deployment.RepeatAlways {
-		// It must not run elsewhere, so its answer here is the only one.
-		withdraw = func() {}
-	}
 	return &watch{g: p.g, req: req, target: target, withdraw: withdraw}
 }
 
@@ -182,7 +179,15 @@
 
 // Sent implements forward.Watch.
 func (w *watch) Sent() {
-	w.attempt = w.g.crashes.attempts.Begin(w.site(), w.req.Identity, w.withdraw)
+	w.attempt = w.g.crashes.attempts.Begin(w.site(), w.req.Identity, func() {
+		if w.req.Match.Route.Repeat != deployment.RepeatAlways {
+			// It must not run elsewhere, so its answer here is the only one.
+			return
+		}
+		metric.AttemptsWithdrawn.Inc()
+		w.g.log.Info("attempt withdrawn, the request may crash endpoints", "request", w.req.ID, "endpoint", w.target.ID, "prompt_parts", w.req.PromptParts)
+		w.withdraw()
+	})
 }
 
 // Answered implements forward.Watch.
@@ -195,6 +200,7 @@
 		return
 	}
 	site := w.site()
+	metric.EndpointCrashes(w.target.Service).Inc()
 	w.g.log.Warn("endpoint crashed", "request", w.req.ID, "endpoint", w.target.ID, "group", site.Group, "prompt_parts", w.req.PromptParts)
 	if site.Group != "" {
 		w.g.loads.GroupStopped(site.Group)
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cyclamenpoint/cyclamenpoint/asynclog"
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
@@ -54,6 +56,7 @@
 	}
 	log, closeLog := asynclog.New(out, slog.LevelInfo)
 	log = log.With("node", s.Node)
+	klog.SetSlogLogger(log)
 	serveMetrics(s.Address.String(), log)
 	log.Info("starting", "process", process, "pid", os.Getpid(), "failure_domain", s.FailureDomain, "address", s.Address.String(), "store", s.StoreAddress)
 	return s, log, closeLog, nil
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -32,6 +32,12 @@
 	return metrics.GetOrCreateCounter(prefix + `refusals_total{service="` + service + `",cause="` + cause + `"}`)
 }
 
+// EndpointCrashes returns the counter of crashes of endpoints that this process has noticed
+// by a request of its own.
+func EndpointCrashes(service string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(prefix + `endpoint_crashes_total{service="` + service + `"}`)
+}
+
 // StoreCalls returns the counter of calls to the platform's store.
 func StoreCalls(call string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(prefix + `store_calls_total{call="` + call + `"}`)
@@ -45,6 +51,9 @@
 
 // The metrics without labels.
 var (
+	// AttemptsWithdrawn counts the attempts that were cancelled because their request may
+	// crash endpoints.
+	AttemptsWithdrawn = metrics.NewCounter(prefix + "attempts_withdrawn_total")
 	// FirstEvent is the time from a request's headers to the first event of its
 	// stream.
 	FirstEvent = metrics.NewHistogram(prefix + "first_event_seconds")
