--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -410,6 +410,20 @@
 	})
 }
 
+// TestLastSuspectWaitsForRareOnes guards against a second crash because the most probable
+// cause is tried before a part that nobody sends for some time.
+func TestLastSuspectWaitsForRareOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList(t, 10)
+		crash := crashOf(0, "g0", newPartRequest("x", "rare"), newPartRequest("y", "bad"))
+		crash.Crashes[0].Established = true
+		l.Merge(crash)
+		time.Sleep(2 * trialTurn)
+		assert.Equal(t, SelectTrial(l.Judge(newPartRequest("z", "bad")), []TrialSite{{"a", "g0"}}), -1)
+		assert.Equal(t, SelectTrial(l.Judge(newPartRequest("z", "rare")), []TrialSite{{"a", "g0"}}), 0)
+	})
+}
+
 // TestPartThatTurnsDeadly guards against a part that is cleared of each crash by answers
 // from before the first one.
 func TestPartThatTurnsDeadly(t *testing.T) {
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -45,9 +45,9 @@
 	// mostly in the order of the requests, so the cause is probably among those that
 	// waited longest.
 	Rank int
-	// Alone is true if that crash has no other suspects although its reporter knew
-	// many parts that do not crash endpoints.
-	Alone bool
+	// Last is true if all other suspects of that crash come before this one, and its
+	// reporter knew many parts that do not crash endpoints.
+	Last bool
 	// Remaining is how long the request stays quarantined.
 	Remaining time.Duration
 }
@@ -107,12 +107,12 @@
 		}
 	}
 	j.Age = l.cfg.Keep - time.Until(latest)
-	contents, waited := 0, make(map[Fingerprint]time.Duration)
+	established, contents, waited := false, 0, make(map[Fingerprint]time.Duration)
 	for key, c := range l.crashes {
 		if key.crash != id {
 			continue
 		}
-		j.Alone = j.Alone || c.established
+		established = established || c.established
 		for _, fp := range c.fingerprints {
 			if l.isSuspectOf(fp, id) {
 				contents++
@@ -124,8 +124,11 @@
 			}
 		}
 	}
-	j.Alone = j.Alone && contents+len(waited) == 1
 	j.Rank = rank(waited, j.Suspects)
+	lastPart := contents == 0 && j.Rank == len(waited)-1
+	// A content that was in flight at two crashes is as probable a cause as a part.
+	onlyContent := contents == 1 && len(waited) == 0
+	j.Last = established && (lastPart || onlyContent)
 }
 
 // rank returns how many fingerprints come before all of own in the order of the times.
--- a/quarantine/trialendpoint.go
+++ b/quarantine/trialendpoint.go
@@ -46,9 +46,10 @@
 	// severalSuspectsPeriod is the time after a crash during which a request with several
 	// suspect parts does not run. A request with one of them shows more.
 	severalSuspectsPeriod = 10 * time.Second
-	// lastSuspectPeriod is the time after a crash during which its only suspect that is
-	// left does not run. All others were cleared, so it very probably is the cause, and a
-	// rank group that its trial stops takes up to ten seconds to work off what waited.
+	// lastSuspectPeriod is the time after a crash during which the last of its suspects in
+	// the order of trials does not run. It very probably is the cause, all the more once
+	// the others were cleared, and a rank group that its trial stops takes up to ten
+	// seconds to work off what waited.
 	lastSuspectPeriod = 30 * time.Second
 	// trialTurn is the time by which the trial of each suspect of a crash comes later than
 	// that of the suspect before it. An engine is back after some seconds, and one answer
@@ -59,7 +60,7 @@
 // TrialIn returns the time until a suspect may run; it is not positive if it may now.
 func (j Judgement) TrialIn() time.Duration {
 	switch {
-	case j.Alone:
+	case j.Last:
 		return lastSuspectPeriod - j.Age
 	case len(j.Suspects) > 1:
 		return severalSuspectsPeriod - j.Age
