--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,7 +16,7 @@
 // another endpoint has room.
 func TestRateLimitOfEndpoint(t *testing.T) {
 	limited, free := endpoint.New("limited"), endpoint.New("free")
-	limited.RateLimit = "2"
+	limited.SetRateLimit("2")
 	first := newTestGateway(t, limited, free)
 	second := &testGateway{t: t, store: first.store, servers: first.servers, grace: first.grace, node: "n2", nextID: 1000}
 	second.start(first.store, first.peerAddress)
@@ -48,7 +48,7 @@
 // slot, or are refused as not run with the time of the next one.
 func TestAllEndpointsLimited(t *testing.T) {
 	e := endpoint.New("e")
-	e.RateLimit = "1"
+	e.SetRateLimit("1")
 	gw := newTestGateway(t, e)
 	assert.Equal(t, gw.call("POST", "/stream/1", "").status, 200)
 	served, start := 0, time.Now()
@@ -63,7 +63,7 @@
 	}
 	slots := int(time.Since(start).Seconds())
 	assert.Assert(t, served >= slots-1, "%d of 8 served in %d slots", served, slots)
-	e.RateLimit = ""
+	e.SetRateLimit("")
 	for range 3 {
 		assert.Equal(t, gw.call("POST", "/stream/1", "").status, 200)
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -42,13 +42,13 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -117,6 +117,35 @@
 	}
 }
 
+// crash resets all connections and refuses new ones for a time, as if the server's process
+// had crashed.
+func (p *proxy) crash(downtime time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener.Close() != nil {
+		// It has crashed already.
+		return
+	}
+	p.resetAll()
+	time.AfterFunc(downtime, p.listenAgain)
+}
+
+func (p *proxy) listenAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		time.AfterFunc(listenRetryInterval, p.listenAgain)
+		return
+	}
+	p.listener = l
+	go p.accept(l)
+}
+
+// listenRetryInterval is the time between two attempts to listen at an address that is
+// still in use.
+const listenRetryInterval = 50 * time.Millisecond
+
 // reset resets all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,11 +46,14 @@
 
 // testbed is the system under test of one seed, with its stand-ins and callers.
 type testbed struct {
-	t          *testing.T
-	rng        *rand.Rand
-	store      *rowstore.Store
-	storeProxy *proxy
-	endpoints  []*endpoint.Endpoint
+	t   *testing.T
+	rng *rand.Rand
+	// endpointRNG selects the faults of endpoints that follow other faults. It leaves the
+	// sequence of the others as it is for a seed.
+	endpointRNG *rand.Rand
+	store       *rowstore.Store
+	storeProxy  *proxy
+	endpoints   []*endpoint.Endpoint
 	// endpointProxies are the proxies in front of the endpoints, by index.
 	endpointProxies []*proxy
 	group           *rankengine.Group
@@ -83,7 +86,7 @@
 // until all gateways are ready, callers are served and the rank group runs
 // passes, and then verifies the outcome.
 func runSeed(t *testing.T, seed uint64, gateway, agent string) {
-	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
+	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
 	logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
 	b.logDir = logDir
@@ -275,6 +278,7 @@
 	req.Header.Set("X-Deadline-Ms", "2000")
 	if q.kind == stream {
 		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("shared%d:40,%s:7", len(q.id)%3, q.id))
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -305,10 +309,29 @@
 		elapsed += pause
 		name, inject := b.randomFault()
 		faults = append(faults, fault{pause, name, inject})
+		if b.endpointRNG.IntN(3) == 0 {
+			name, inject := b.randomEndpointFault()
+			faults = append(faults, fault{0, name, inject})
+		}
 	}
 	return faults
 }
 
+// randomEndpointFault returns a crash of an endpoint or a rate limit that it states, as
+// randomFault does.
+func (b *testbed) randomEndpointFault() (string, func()) {
+	i := b.endpointRNG.IntN(len(b.endpointProxies))
+	duration := time.Duration(b.endpointRNG.IntN(1500)) * time.Millisecond
+	if b.endpointRNG.IntN(2) == 0 {
+		return fmt.Sprintf("e%d crashes", i), func() { b.endpointProxies[i].crash(duration) }
+	}
+	limit := fmt.Sprint(1 + b.endpointRNG.IntN(20))
+	return fmt.Sprintf("e%d states a limit of %s requests a second", i, limit), func() {
+		b.endpoints[i].SetRateLimit(limit)
+		time.AfterFunc(duration, func() { b.endpoints[i].SetRateLimit("") })
+	}
+}
+
 // randomFault returns the name of a random fault and the function that injects
 // it. Faults that last for a time end by themselves.
 func (b *testbed) randomFault() (string, func()) {
@@ -375,6 +398,7 @@
 	for i := range b.endpointProxies {
 		b.endpointProxies[i].setFault(noLinkFault)
 		b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
+		b.endpoints[i].SetRateLimit("")
 	}
 	for _, p := range append(append([]*process{}, b.gateways...), b.agents...) {
 		p.signal(syscall.SIGCONT)
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -62,9 +62,6 @@
 	StreamLength int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
-	// RateLimit is the number of requests per second that answers state as the limit of
-	// all entry nodes; empty for none.
-	RateLimit string
 	// DeadlyPart is a part of prompts; empty for none. The endpoint calls Crash, which
 	// has to close its listener and connections, instead of beginning an answer to a
 	// request with it.
@@ -74,6 +71,7 @@
 	mu          sync.Mutex
 	id          string
 	selectFault func(id string, arrival int) Fault
+	rateLimit   string
 	runs        []*Run
 	arrivals    int
 }
@@ -107,6 +105,14 @@
 	e.selectFault = selectFault
 }
 
+// SetRateLimit sets the number of requests per second that answers state as the limit of
+// all entry nodes; empty for none.
+func (e *Endpoint) SetRateLimit(perSecond string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = perSecond
+}
+
 // Runs returns the requests run so far, in order of arrival.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -126,10 +132,10 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if e.RateLimit != "" {
-		w.Header().Set("Server-Limit", e.RateLimit)
-	}
 	e.mu.Lock()
+	if e.rateLimit != "" {
+		w.Header().Set("Server-Limit", e.rateLimit)
+	}
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
 	e.mu.Unlock()
