--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -265,21 +264,27 @@
 	}
 }
 
-// mustWithdraw reports whether an attempt must not go on. The attempt of a suspect in the
-// rank group that crashed may be its trial.
+// mustWithdraw reports whether an attempt must not go on. The attempt of a suspect may be
+// its trial if it began after the crash. In the rank group that crashed it does no more
+// harm.
 func (t *Attempt) mustWithdraw(j Judgement) bool {
 	switch j.State {
 	case Quarantined:
 		return true
 	case Suspect:
-		return t.site.Group == "" || t.site.Group != j.Group
+		return time.Since(t.begun) > j.Age && (t.site.Group == "" || t.site.Group != j.Group)
 	default:
 		return false
 	}
 }
 
+// simultaneousCrashes is the time within which several crashes may have one cause, such as
+// the failure of a rack. An answer from before the first of them counts for all.
+const simultaneousCrashes = 2 * time.Second
+
 // partOfCrash is a part that is not cleared of a crash. previous is the time of the
-// latest earlier crash at which it was in flight, cleared or not; zero if there is none.
+// latest earlier crash at which it was in flight, cleared or not, except simultaneous ones;
+// zero if there is none.
 type partOfCrash struct {
 	part     Fingerprint
 	crash    CrashID
@@ -304,12 +309,13 @@
 	var out []partOfCrash
 	for fp, os := range occurrences {
 		slices.SortFunc(os, func(a, b occurrence) int {
-			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.crash.String(), b.crash.String()))
+			return a.at.Compare(b.at)
 		})
 		var previous time.Time
+		first := os[0].at
 		for i, o := range os {
-			if i > 0 && os[i-1].crash != o.crash {
-				previous = os[i-1].at
+			if o.at.Sub(first) > simultaneousCrashes {
+				previous, first = os[i-1].at, o.at
 			}
 			if _, cleared := l.clears[clearKey{fp, o.crash}]; !cleared {
 				out = append(out, partOfCrash{fp, o.crash, previous})
--- a/quarantine/attempts_test.go
+++ b/quarantine/attempts_test.go
@@ -433,7 +433,7 @@
 		answered := a.Begin(Site{Endpoint: "e"}, newPartRequest("x", "shared"), func() {})
 		answered.Answered(true)
 		for i := range 4 {
-			time.Sleep(time.Second)
+			time.Sleep(simultaneousCrashes + time.Second)
 			site := Site{Endpoint: fmt.Sprint("e", i), Group: "g0"}
 			waiting := a.Begin(site, newPartRequest(fmt.Sprint("y", i), "shared"), func() {})
 			a.RecordCrash(site)
@@ -459,6 +459,38 @@
 	assert.DeepEqual(t, withdrawn, map[string]bool{"other group": true})
 }
 
+// TestTrialIsNotWithdrawn guards against the trial of a suspect that never ends because each
+// new fact withdraws it.
+func TestTrialIsNotWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAttempts(newPartList(t), "n", func() {})
+		a.Merge(crashOf(0, "g0", newPartRequest("x", "bad")))
+		time.Sleep(time.Second)
+		a.Begin(Site{Endpoint: "e", Group: "g1"}, newPartRequest("trial", "bad"), func() { t.Error("withdrawn") })
+		a.Merge(crashOf(1, "g0", newPartRequest("y", "other")))
+	})
+}
+
+// TestSimultaneousCrashes guards against a popular part that is held because a rack failed,
+// so that requests with it were in flight at two crashes.
+func TestSimultaneousCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := NewAttempts(newPartList(t), "n", func() {})
+		for range establishedAnswers {
+			a.Begin(Site{Endpoint: "e"}, newPartRequest("x", "popular"), func() {}).Answered(true)
+		}
+		time.Sleep(time.Second)
+		for i := range uint32(3) {
+			a.Merge(crashOf(i, "g0", newPartRequest(fmt.Sprint("y", i), "popular")))
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Equal(t, a.list.Judge(newPartRequest("z", "popular")).State, Clean)
+		time.Sleep(simultaneousCrashes)
+		a.Merge(crashOf(9, "g0", newPartRequest("y9", "popular")))
+		assert.Equal(t, a.list.Judge(newPartRequest("z", "popular")).State, Suspect)
+	})
+}
+
 func newPartList(t *testing.T) *List {
 	l, err := NewList(Config{Keep: time.Hour, MaxCrashes: 10, MaxClears: 100, SuspectFromSecondCrash: true})
 	assert.NilError(t, err)
--- a/quarantine/expire.go
+++ b/quarantine/expire.go
@@ -53,6 +53,12 @@
 		l.nextExpiry = earlier(l.nextExpiry, c.expires)
 	}
 	facts := slices.Collect(maps.Values(byID))
+	l.uncleared = make(map[Fingerprint]bool)
+	for _, c := range facts {
+		for fp := range c {
+			l.uncleared[fp] = true
+		}
+	}
 	before := l.states
 	l.states = l.computeStates(facts)
 	l.together = refusedTogether(facts, l.states)
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -86,6 +86,8 @@
 	// facts.
 	computeStates func([]uncleared) map[Fingerprint]State
 	states        map[Fingerprint]State
+	// uncleared holds the fingerprints that are not cleared of all their crashes.
+	uncleared map[Fingerprint]bool
 	// together is the result of refusedTogether for the present facts.
 	together [][]Fingerprint
 	// exchanged holds the keys of the facts that other nodes have.
@@ -160,6 +162,9 @@
 }
 
 func (l *List) clear(fp Fingerprint, by string) bool {
+	if !l.uncleared[fp] {
+		return false
+	}
 	found := false
 	for report, c := range l.crashes {
 		key := clearKey{fp, report.crash}
