--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -93,7 +93,7 @@
 	return res
 }
 
-// connectionLost tells the watch that the connection failed, unless the attempt was
+// connectionLost reports a failed connection to the watch, unless the attempt was
 // cancelled.
 func (r *requestState) connectionLost(ctx context.Context) {
 	if ctx.Err() == nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -123,7 +123,7 @@
 	Unresponsive(target Target) bool
 }
 
-// Watch is told the course of one attempt. Its methods must not be called concurrently.
+// Watch receives the events of one attempt. Its methods must not be called concurrently.
 type Watch interface {
 	// Sent marks that the request is about to be sent.
 	Sent()
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -32,8 +32,7 @@
 	return pacing.Endpoint{ID: e.ID, Incarnation: uint64(e.Started.UnixMilli())}
 }
 
-// observe records what an answer of an endpoint states and tells the other nodes of a
-// change.
+// observe records what an answer of an endpoint states and broadcasts a change.
 func (l *limits) observe(e discovery.Endpoint, request string, perSecond float64) {
 	now := time.Now()
 	if !l.pacer.Observe(pacedEndpoint(e), perSecond, now) {
--- a/gateway/notes.go
+++ b/gateway/notes.go
@@ -52,9 +52,9 @@
 	return n
 }
 
-// askAtStart asks other entry nodes for what they know until one answers or startPeriod
-// is over. A node that starts again must not send a request to endpoints that the others
-// know to crash them.
+// askAtStart requests the facts and limits of other entry nodes until one answers or
+// startPeriod is over. Otherwise a restarted node would send on requests that are
+// quarantined everywhere else.
 func (n *notes) askAtStart(ctx context.Context) {
 	defer n.synced.Store(true)
 	ask := time.NewTicker(askInterval)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -85,7 +85,7 @@
 }
 
 // Observe records what an answer of an endpoint states; zero means no limit. It reports
-// whether the other nodes should be told.
+// whether the change should be broadcast to the other nodes.
 func (p *Pacer) Observe(e Endpoint, perSecond float64, now time.Time) (changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/quarantine/attempts.go
+++ b/quarantine/attempts.go
@@ -13,8 +13,8 @@
 	maxAnsweredParts = 1024
 	// answeredWindow is how long an answer shows that a part does not crash endpoints.
 	answeredWindow = 10 * time.Minute
-	// establishedAnswers is the number of answers after which a node knows enough parts
-	// that do not crash endpoints for one that it does not know to be conspicuous.
+	// establishedAnswers is the number of answers after which a node has seen enough parts
+	// that do not crash endpoints for a part without an answer to be conspicuous.
 	establishedAnswers = 10
 	// maxReportedRequests bounds the requests in a report of a crash.
 	maxReportedRequests = 64
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -45,8 +45,8 @@
 	// mostly in the order of the requests, so the cause is probably among those that
 	// waited longest.
 	Rank int
-	// Last is true if all other suspects of that crash come before this one, and its
-	// reporter knew many parts that do not crash endpoints.
+	// Last is true if all other suspects of that crash come before this one, and a
+	// reporter of the crash had many answers before; see Crash.Established.
 	Last bool
 	// Remaining is how long the request stays quarantined.
 	Remaining time.Duration
@@ -91,7 +91,7 @@
 }
 
 // describeCrashes sets the fields about the crashes with one of the suspects in
-// flight.
+// flight: Group and Age by the latest of them, Rank and Last by all suspects of that one.
 func (l *List) describeCrashes(j *Judgement) {
 	var latest time.Time
 	var id CrashID
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -93,7 +93,7 @@
 type Crash struct {
 	ID CrashID `json:"id"`
 	// Reporter is the entry node that had the requests in flight. It is empty for the
-	// report of an agent, which knows all requests of its endpoint. The requests of a
+	// report of an agent, which sees all requests of its endpoint. The requests of a
 	// crash are those of all its reporters.
 	Reporter string `json:"reporter,omitempty"`
 	// Group is the endpoint's rank group, or empty.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// crash resets all connections and refuses new ones for a time, as if the server's process
+// crash resets all connections and refuses new ones for a time, as if the process behind it
 // had crashed.
 func (p *proxy) crash(downtime time.Duration) {
 	p.mu.Lock()
