review: case 4, workers and keys that stay in use after an outage of the store

A call for changes that begins while the store is silent is never answered, and the gateways wait for it for 22 s. This takes the place of the case with silent connections to the store, whose keep-alive probes the proxy had answered.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 # review/build.sh.
 folder="$(cd "$(dirname "$0")" && pwd)" || exit 2
 [ -x "$folder/../bin/standin" ] || exit 2
-exec "$folder/../bin/standin" path "$folder/../.." "$folder"
+exec "$folder/../bin/standin" outage "$folder/../.." "$folder"
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -1,6 +1,10 @@
 package main
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/standin/rowstore"
+)
 
 // The bounds of the deployment that the check uses.
 const (
@@ -18,8 +22,10 @@
 	discardAfterLeave = 300 * time.Millisecond
 	// lingers is how long the old worker serves after its entry was removed.
 	lingers = 10 * time.Second
-	// silentAfterNew is the time between the entry of the new worker and the silence.
-	silentAfterNew = 1500 * time.Millisecond
+	// outageAfterNew is the time between the entry of the new worker and the outage, and
+	// outageTime the length of the outage.
+	outageAfterNew = 400 * time.Millisecond
+	outageTime     = 4500 * time.Millisecond
 	// contactMargin is added to contactTime.
 	contactMargin = 500 * time.Millisecond
 )
@@ -47,17 +53,22 @@
 	return p.lateRuns(old, max(removedAt+drainTimeout, discardedAt+contactTime)) > 0
 }
 
-// playSilent does the same. The disruption is that the open connections to the store go
-// silent; new ones work. The worker leaves once the machines are in touch again.
-func playSilent(b *testbed) bool {
+// playOutage does the same. The disruption is that the store is down and answers nothing for
+// some seconds. Calls that arrive meanwhile are never answered. The worker leaves once the
+// store is stable again.
+func playOutage(b *testbed) bool {
 	p := startPlainService(b)
 	time.Sleep(drainCalm)
 	old := p.workers[0]
 	p.add("i-7f3a91c3")
-	time.Sleep(silentAfterNew)
+	time.Sleep(outageAfterNew)
 	if b.trouble {
-		b.rec.note("open connections to the store go silent", "connections", b.storeProxy.silence())
+		b.store.SetMode(func(string) rowstore.Mode { return rowstore.Unresponsive })
+		b.rec.note("store down")
 	}
+	time.Sleep(outageTime)
+	b.store.SetMode(func(string) rowstore.Mode { return rowstore.Normal })
+	b.rec.note("store up")
 	time.Sleep(contactTime + contactMargin)
 	p.remove(old)
 	removedAt := b.rec.now()
--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -34,8 +34,8 @@
 	hotPeriod = 3 * time.Second
 	// hotShare is the number of experts for each one that is in demand.
 	hotShare = 4
-	// engineEpoch is the epoch of the group, which forms once.
-	engineEpoch = 1
+	// formTime is the time from the crash of a rank until the group is open again.
+	formTime = 1600 * time.Millisecond
 )
 
 // group is a rank group of model workers. No pass begins while a rank holds it.
@@ -50,7 +50,12 @@
 	// pass is closed and replaced when a pass begins.
 	pass     chan struct{}
 	switches int
-	// mixed counts the passes that began with two maps.
+	// epoch counts how often the group has formed, openAt is when it opens.
+	epoch  uint64
+	openAt time.Time
+	// broken is closed and replaced when a rank crashes.
+	broken chan struct{}
+	// mixed counts the passes that began with two maps, by version or content.
 	mixed int
 	// invalid counts the maps that were refused because they break the configured limits.
 	invalid int
@@ -77,25 +82,61 @@
 	prepared                uint64
 	preparedAt              time.Time
 	preparedExperts         [][]int
-	armed                   *armedSwitch
-	hold                    uint64
-	counts                  []uint64
-	running, queued         int
-	sequence                int
+	// content and preparedContent are the whole maps in force and prepared, as the rank got
+	// them.
+	content, preparedContent string
+	armed                    *armedSwitch
+	hold                     uint64
+	counts                   []uint64
+	running, queued          int
+	sequence                 int
+}
+
+// inTurn returns the experts of a rank in map 0, by set.
+func (s shape) inTurn(rank int) [][]int {
+	var experts [][]int
+	for range s.sets {
+		var held []int
+		for e := rank; e < s.experts; e += s.ranks {
+			held = append(held, e)
+		}
+		experts = append(experts, held)
+	}
+	return experts
+}
+
+// crash restarts a rank. The group forms again, in a new epoch and with map 0.
+func (g *group) crash(number int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	g.openAt = time.Now().Add(formTime)
+	for _, r := range g.ranks {
+		r.inForce, r.prepared, r.armed, r.hold, r.content = 0, 0, nil, 0, ""
+		r.experts = g.shape.inTurn(r.number)
+	}
+	r := g.ranks[number]
+	r.token, r.highest, r.sequence, r.born = 0, 0, 0, time.Now().UnixMilli()
+	clear(r.counts)
+	close(g.broken)
+	g.broken = make(chan struct{})
+	g.rec.line("rank crashes", "rank", number, "epoch", g.epoch)
+}
+
+// state returns the state of the group. The caller holds the lock.
+func (g *group) state() string {
+	if time.Now().Before(g.openAt) {
+		return "broken"
+	}
+	return "open"
 }
 
 // newGroup starts the ranks, each at an address of its machine.
 func newGroup(rec *record, net network, s shape) *group {
-	g := &group{rec: rec, shape: s, begun: time.Now(), pass: make(chan struct{})}
+	g := &group{rec: rec, shape: s, begun: time.Now(), pass: make(chan struct{}), broken: make(chan struct{}), epoch: 1}
 	for n := range s.ranks {
 		r := &rank{group: g, number: n, id: fmt.Sprintf("i-51d0aa%02x", n), listener: listen(net.ip(50 + n)), born: time.Now().UnixMilli(), counts: make([]uint64, s.sets*s.experts)}
-		for range s.sets {
-			var held []int
-			for e := n; e < s.experts; e += s.ranks {
-				held = append(held, e)
-			}
-			r.experts = append(r.experts, held)
-		}
+		r.experts = s.inTurn(n)
 		g.ranks = append(g.ranks, r)
 	}
 	for _, r := range g.ranks {
@@ -123,7 +164,7 @@
 	for _, r := range g.ranks {
 		work += r.running
 	}
-	if work == 0 {
+	if work == 0 || g.state() == "broken" {
 		return pollTime
 	}
 	next := g.step + 1
@@ -137,13 +178,14 @@
 	for _, r := range g.ranks {
 		if r.armed != nil && next >= r.armed.Step {
 			r.inForce, r.experts, r.armed, r.prepared = r.armed.Version, r.preparedExperts, nil, 0
+			r.content = r.preparedContent
 		}
 	}
 	hot := g.hotExperts()
 	for _, r := range g.ranks {
-		if r.inForce != g.ranks[0].inForce {
+		if first := g.ranks[0]; r.inForce != first.inForce || r.content != first.content {
 			g.mixed++
-			g.rec.line("two maps", "step", next, "rank", r.number, "map", r.inForce, "map of rank 0", g.ranks[0].inForce)
+			g.rec.line("two maps", "step", next, "rank", r.number, "map", r.inForce, "content", r.content, "map of rank 0", first.inForce, "content", first.content)
 		}
 		for i := range r.counts {
 			r.counts[i] += uint64(r.running * demand(hot[i/g.shape.experts][i%g.shape.experts]))
@@ -234,7 +276,7 @@
 	body := object{
 		"stage": "both", "models": []object{{"name": "m", "version": 1, "adapters": []string{}}}, "busy": false, "sequence": r.sequence,
 		"queued": r.queued, "running": r.running, "kv_used": 1000, "kv_total": 372000, "handles": 0, "born": r.born, "pace": 1.0,
-		"group": object{"name": "g0", "epoch": engineEpoch, "rank": r.number, "state": "open"}, "size": g.shape.ranks,
+		"group": object{"name": "g0", "epoch": g.epoch, "rank": r.number, "state": g.state()}, "size": g.shape.ranks,
 		"step": g.step, "map": r.inForce, "prepared": orNull(prepared), "armed": r.armed, "held": orNull(r.hold),
 	}
 	g.mu.Unlock()
@@ -244,9 +286,9 @@
 func (r *rank) picked(w http.ResponseWriter, req *http.Request) {
 	g := r.group
 	g.mu.Lock()
-	body := object{"step": g.step, "epoch": engineEpoch, "counts": append([]uint64(nil), r.counts...)}
+	body := object{"step": g.step, "epoch": g.epoch, "counts": append([]uint64(nil), r.counts...)}
 	if req.URL.Query().Has("lists") {
-		body = object{"step": g.step, "epoch": engineEpoch, "map": object{"version": r.inForce, "experts": r.experts}}
+		body = object{"step": g.step, "epoch": g.epoch, "map": object{"version": r.inForce, "experts": r.experts}}
 	}
 	g.mu.Unlock()
 	writeJSON(w, body)
@@ -289,7 +331,7 @@
 		return http.StatusPreconditionFailed, "token"
 	}
 	r.token = o.FencingToken
-	if o.Epoch != nil && *o.Epoch != engineEpoch {
+	if o.Epoch != nil && *o.Epoch != g.epoch {
 		return http.StatusConflict, "epoch"
 	}
 	switch o.Operation {
@@ -307,6 +349,11 @@
 			return http.StatusConflict, "more than spare experts are new"
 		}
 		r.highest, r.prepared, r.preparedExperts = o.Version, o.Version, nil
+		text, err := json.Marshal(o.Map)
+		if err != nil {
+			return http.StatusBadRequest, err.Error()
+		}
+		r.preparedContent = string(text)
 		r.preparedAt = time.Now().Add(time.Duration(added) * copyTime)
 		for set := range o.Map {
 			r.preparedExperts = append(r.preparedExperts, o.Map[set][r.number])
@@ -397,7 +444,8 @@
 		ms = 8000
 	}
 	deadline := time.After(time.Duration(ms) * time.Millisecond)
-	if !r.admit(req, deadline) {
+	broken, open := r.group.whenBroken()
+	if !open || !r.admit(req, deadline) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.Header().Set("At-Server", r.id)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -413,6 +461,14 @@
 		case <-r.group.begins():
 		case <-req.Context().Done():
 			return
+		case <-broken:
+			if event == after+1 {
+				w.Header().Set("X-Not-Executed", "1")
+				w.Header().Set("At-Server", r.id)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			panic(http.ErrAbortHandler)
 		case <-deadline:
 			if event == after+1 {
 				w.Header().Set("X-Not-Executed", "1")
@@ -434,6 +490,14 @@
 	}
 }
 
+// whenBroken returns a channel that is closed at the next crash of a rank, and whether the
+// group is open now.
+func (g *group) whenBroken() (broken <-chan struct{}, open bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.broken, g.state() == "open"
+}
+
 // admit waits for a slot. It returns false if there is no place, or none before the
 // deadline.
 func (r *rank) admit(req *http.Request, deadline <-chan time.Time) bool {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,13 +24,11 @@
 
 // testbed is what all cases share.
 type testbed struct {
-	rec   *record
-	net   network
-	store *rowstore.Store
-	// storeProxy stands between the machines and the store.
-	storeProxy *proxy
-	machines   *machines
-	trouble    bool
+	rec      *record
+	net      network
+	store    *rowstore.Store
+	machines *machines
+	trouble  bool
 }
 
 // bed is the testbed of the run.
@@ -55,7 +53,7 @@
 }
 
 func main() {
-	cases := map[string]func(*testbed) bool{"recover": playRecover, "drain": playDrain, "path": playPath, "silent": playSilent, "poison": playPoison}
+	cases := map[string]func(*testbed) bool{"recover": playRecover, "drain": playDrain, "path": playPath, "leader": playLeader, "outage": playOutage, "poison": playPoison}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT FOLDER")
 		os.Exit(2)
@@ -74,8 +72,7 @@
 	}()
 	l := listen(bed.net.ip(2))
 	go func() { _ = (&http.Server{Handler: bed.store}).Serve(l) }()
-	bed.storeProxy = startProxy(bed.net.ip(3), l.Addr().String())
-	bed.machines = newMachines(os.Args[2], bed.net, bed.storeProxy.address())
+	bed.machines = newMachines(os.Args[2], bed.net, l.Addr().String())
 	rec.line("start", "case", os.Args[1], "trouble", bed.trouble)
 	if broken := cases[os.Args[1]](bed); broken {
 		fmt.Println("the rule was broken")
--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -28,41 +28,8 @@
 // processes of the system right after a worker has acknowledged an order to hold the
 // group.
 func playRecover(b *testbed) bool {
-	const service = "drafting-llm"
-	ranks := 2
-	if n, err := strconv.Atoi(os.Getenv("RANKS")); err == nil {
-		ranks = n
-	}
-	// The figures of the deployment, for fewer ranks: 8 experts a rank, 11 places, 4 spare.
-	s := shape{ranks: ranks, sets: 6, experts: 8 * ranks, placements: 11, spare: 4}
-	b.putConfig(3, []object{
-		{"name": "draft", "hostname": hostname, "prefix": "/draft/", "kind": "streaming", "resumable": true, "service": service, "timeout_ms": 8000, "target_latency_ms": 400, "target_gap_ms": 120, "max_attempts": 2, "priority": 1, "sticky": true},
-	}, []object{{"name": service, "health_path": "/health", "max_connections": 516, "engine": object{
-		"slots": groupSlots, "kv_capacity_tokens": 372000, "step_ms": 5.85, "per_seq_ms": 0.355, "context_per_k": 0.036, "stride": 1,
-		"read_per_s": 61200, "pairs_per_m": 0.325, "chunk": 512, "usual": object{"prompt": 400, "answer": 60}, "report_lag_ms": 200,
-		"sets": s.sets, "experts": s.experts, "placements": s.placements, "spare": s.spare, "expert_mb": 580, "link_mbps": 92000, "expert_share": 0.85,
-	}}})
-	g := newGroup(b.rec, b.net, s)
-	c := newClients(b.rec, []*gateway{b.machines.startGateway(0), b.machines.startGateway(1)})
-	for n, r := range g.ranks {
-		b.store.Put("servers", r.id, entryOf(service, r.listener.Addr().String(), groupSlots))
-		b.machines.startAgent(n, b.net.ip(50+n), r.listener.Addr().String(), service)
-	}
-	c.awaitReady(15 * time.Second)
-	stop, sending := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(sending)
-		tick := time.NewTicker(streamInterval)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-			case <-stop:
-				return
-			}
-			c.send(&request{kind: "streaming", method: "POST", path: "/draft/2f", body: "complaint", deadline: 8 * time.Second})
-		}
-	}()
+	d := startRankGroup(b, 2)
+	g, c := d.group, d.clients
 	trafficAt := b.rec.now()
 	time.Sleep(recoverCalm / 2)
 	if os.Getenv("LEADER") == "1" {
@@ -111,8 +78,7 @@
 	backAt := b.rec.now()
 	b.rec.note("processes start again")
 	time.Sleep(recoveryTime + judgedTime)
-	close(stop)
-	<-sending
+	d.endTraffic()
 	before, after := share{}, share{}
 	for _, r := range c.all() {
 		switch {
@@ -148,3 +114,54 @@
 func (s share) part() float64 { return float64(s.served) / float64(max(s.all, 1)) }
 
 func (s share) String() string { return strconv.Itoa(s.served) + " of " + strconv.Itoa(s.all) }
+
+// rankGroup is a deployment of two entry machines and one rank group, under traffic.
+type rankGroup struct {
+	group         *group
+	clients       *clients
+	stop, sending chan struct{}
+}
+
+func (d *rankGroup) endTraffic() {
+	close(d.stop)
+	<-d.sending
+}
+
+// startRankGroup starts the deployment and its traffic. RANKS sets another number of ranks.
+func startRankGroup(b *testbed, ranks int) *rankGroup {
+	const service = "drafting-llm"
+	if n, err := strconv.Atoi(os.Getenv("RANKS")); err == nil {
+		ranks = n
+	}
+	// The figures of the deployment, for fewer ranks: 8 experts a rank, 11 places, 4 spare.
+	s := shape{ranks: ranks, sets: 6, experts: 8 * ranks, placements: 11, spare: 4}
+	b.putConfig(3, []object{
+		{"name": "draft", "hostname": hostname, "prefix": "/draft/", "kind": "streaming", "resumable": true, "service": service, "timeout_ms": 8000, "target_latency_ms": 400, "target_gap_ms": 120, "max_attempts": 2, "priority": 1, "sticky": true},
+	}, []object{{"name": service, "health_path": "/health", "max_connections": 516, "engine": object{
+		"slots": groupSlots, "kv_capacity_tokens": 372000, "step_ms": 5.85, "per_seq_ms": 0.355, "context_per_k": 0.036, "stride": 1,
+		"read_per_s": 61200, "pairs_per_m": 0.325, "chunk": 512, "usual": object{"prompt": 400, "answer": 60}, "report_lag_ms": 200,
+		"sets": s.sets, "experts": s.experts, "placements": s.placements, "spare": s.spare, "expert_mb": 580, "link_mbps": 92000, "expert_share": 0.85,
+	}}})
+	g := newGroup(b.rec, b.net, s)
+	c := newClients(b.rec, []*gateway{b.machines.startGateway(0), b.machines.startGateway(1)})
+	for n, r := range g.ranks {
+		b.store.Put("servers", r.id, entryOf(service, r.listener.Addr().String(), groupSlots))
+		b.machines.startAgent(n, b.net.ip(50+n), r.listener.Addr().String(), service)
+	}
+	c.awaitReady(15 * time.Second)
+	d := &rankGroup{group: g, clients: c, stop: make(chan struct{}), sending: make(chan struct{})}
+	go func() {
+		defer close(d.sending)
+		tick := time.NewTicker(streamInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+			case <-d.stop:
+				return
+			}
+			c.send(&request{kind: "streaming", method: "POST", path: "/draft/2f", body: "complaint", deadline: 8 * time.Second})
+		}
+	}()
+	return d
+}
