--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -166,7 +166,15 @@
 		}
 	}()
 	time.Sleep(poisonCalm)
-	for range poisonAttempts {
+	attempts := poisonAttempts
+	if n, err := strconv.Atoi(os.Getenv("ATTEMPTS")); err == nil {
+		attempts = n
+	}
+	for n := range attempts {
+		if n%6 == 5 && os.Getenv("GATEWAYS") == "killed" {
+			kill(500*time.Millisecond, b.machines.all...)
+			b.rec.note("all gateways killed")
+		}
 		c.send(&request{kind: "streaming", method: "POST", path: "/draft/2f", body: poisonBody, prefix: "5c1e07a2:40,91bd3f06:410,e4402b7d:250", deadline: 8 * time.Second})
 		time.Sleep(poisonPeriod)
 	}
