rankgroup: changes of maps name their base and result by content

Cause: a change of a map named its base by version. The agents keep a map as the former leader sent it, with free slots between the experts; a new leader rebuilds it from the engines' lists, without them. The change hit other slots.

Now base and result are named by hash, in a normalized order of slots, and a result with another hash is refused. On related paths: lists of another version are not taken for the map in force, the rank of a returned state has to be the one that was meant, and an order that an engine finds invalid ends the attempt instead of being repeated every 20 ms for 6 s.

Tests: TestChangeAgainstMapThatWasRead failed before ("prepare: rank 1: no answer", the decoded maps were invalid). TestRandomHistories now compares contents and crashes engines: 40 of 120 histories failed with the former encoding, none now.

--- a/expertmap/map.go
+++ b/expertmap/map.go
@@ -219,6 +219,19 @@
 	return m.shape == o.shape && slices.Equal(m.slots, o.slots)
 }
 
+// Normalize returns the map with the same experts on each rank, in ascending order
+// before the empty slots. Maps that differ only in the slots of a rank become equal.
+func (m Map) Normalize() Map {
+	n := m.Edit().m
+	for layer := range n.shape.Layers {
+		for rank := range n.shape.Ranks {
+			// Empty is greater than every expert.
+			slices.Sort(n.Rank(layer, rank))
+		}
+	}
+	return n
+}
+
 // Hash returns the xxHash64 of the canonical encoding. Equal maps have equal
 // hashes in all processes.
 func (m Map) Hash() uint64 { return xxhash.Sum64(m.Marshal()) }
--- a/rankgroup/failure.go
+++ b/rankgroup/failure.go
@@ -17,6 +17,15 @@
 	return "no agent is known of rank " + strconv.Itoa(e.Rank) + " of group " + e.Group
 }
 
+// WrongRankError is returned when an agent or engine has another rank than the
+// registry says. Nothing is known of the rank that was meant.
+type WrongRankError struct{ Want, Got int }
+
+// Error implements error.
+func (e *WrongRankError) Error() string {
+	return "engine has rank " + strconv.Itoa(e.Got) + ", not " + strconv.Itoa(e.Want)
+}
+
 // MixedMapsError is returned when ranks report different versions of the map in
 // force. This is normal for a moment during a switch.
 type MixedMapsError struct{ First, Other uint64 }
@@ -53,10 +62,11 @@
 // wireError is an error of Reconciler.Ensure as sent between processes. One of
 // the pointers is set, or only Text.
 type wireError struct {
-	Fenced  *FencedError  `json:"fenced,omitempty"`
-	Epoch   *EpochError   `json:"epoch,omitempty"`
-	Passed  *PassedError  `json:"passed,omitempty"`
-	Refused *RefusedError `json:"refused,omitempty"`
+	Fenced  *FencedError       `json:"fenced,omitempty"`
+	Epoch   *EpochError        `json:"epoch,omitempty"`
+	Passed  *PassedError       `json:"passed,omitempty"`
+	Refused *RefusedError      `json:"refused,omitempty"`
+	Invalid *InvalidOrderError `json:"invalid,omitempty"`
 	// UnknownBase is set if the change of a map could not be applied.
 	UnknownBase *UnknownBaseError `json:"unknown_base,omitempty"`
 
@@ -69,7 +79,7 @@
 	}
 	e := &wireError{Text: err.Error()}
 	// A type that does not match leaves its field nil.
-	_ = errors.As(err, &e.Fenced) || errors.As(err, &e.Epoch) || errors.As(err, &e.Passed) || errors.As(err, &e.Refused) || errors.As(err, &e.UnknownBase)
+	_ = errors.As(err, &e.Fenced) || errors.As(err, &e.Epoch) || errors.As(err, &e.Passed) || errors.As(err, &e.Refused) || errors.As(err, &e.Invalid) || errors.As(err, &e.UnknownBase)
 	return e
 }
 
@@ -85,6 +95,8 @@
 		return e.Passed
 	case e.Refused != nil:
 		return e.Refused
+	case e.Invalid != nil:
+		return e.Invalid
 	case e.UnknownBase != nil:
 		return e.UnknownBase
 	}
--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -112,7 +112,7 @@
 // cancelled: until a rank is armed, the map in force stays.
 func prepare(ctx context.Context, group GroupClient, p Plan) ([]State, error) {
 	goal := p.goal(GoalPrepared, 0)
-	goal.Map = p.Map.Marshal()
+	goal.Map = p.Map.Normalize().Marshal()
 	states, err := ensureAll(ctx, group, allRanks(group), goal, prepareTimeout)
 	return states, errors.WithMessage(err, "prepare")
 }
--- a/rankgroup/gate_test.go
+++ b/rankgroup/gate_test.go
@@ -22,7 +22,7 @@
 	var tasks sync.WaitGroup
 	g.leaders = leaders
 	tasks.Go(func() { g.run(ctx) })
-	for rank := range simShape.Ranks {
+	for rank := range g.shape.Ranks {
 		tasks.Go(func() { g.runHoldWatch(ctx, rank) })
 	}
 	for i, rank := range leaders {
@@ -108,7 +108,7 @@
 		)
 		g := newSimGroup(t, 5, simFaults{})
 		ctx := t.Context()
-		m, err := expertmap.Static(simShape)
+		m, err := expertmap.InTurn(simShape)
 		assert.NilError(t, err)
 		goal := Goal{Kind: GoalPrepared, Token: version, Leader: first, Epoch: 1, Version: version, Step: step, Map: m.Marshal()}
 		_, err = ensureAll(ctx, g.client(first), allRanks(g.client(first)), goal, prepareTimeout)
@@ -150,7 +150,7 @@
 	g.killed[rank] = killed
 	if !killed {
 		// A new process starts without any state.
-		g.reconcilers[rank] = NewReconciler(&localEngine{g.engines[rank]})
+		g.reconcilers[rank], g.caches[rank], g.sent[rank] = NewReconciler(&localEngine{g.engines[rank]}), &mapCache{}, expertmap.Map{}
 	}
 }
 
@@ -191,7 +191,7 @@
 // injectRandomFault causes one random fault.
 func injectRandomFault(g *simGroup, rng *rand.Rand) {
 	rank := rng.IntN(simShape.Ranks)
-	switch rng.IntN(4) {
+	switch rng.IntN(5) {
 	case 0:
 		g.setFrozen(rank, true)
 		time.Sleep(time.Duration(rng.Int64N(int64(4 * time.Second))))
@@ -204,6 +204,8 @@
 		g.setIdle(true)
 		time.Sleep(time.Duration(rng.Int64N(int64(5 * time.Second))))
 		g.setIdle(false)
+	case 3:
+		g.crash(rank)
 	}
 }
 
@@ -245,7 +247,7 @@
 		g := newSimGroup(probe, 4, simFaults{})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		_ = g.engines[1].order(ctx, Order{Kind: Prepare, Version: 7, Token: 7})
+		_ = g.engines[1].order(ctx, Order{Kind: Prepare, Version: 7, Token: 7, Map: g.engines[1].inForceMap})
 		_ = g.engines[1].order(ctx, Order{Kind: Arm, Version: 7, Step: 2, Token: 7})
 		for range 3 {
 			g.pass(time.Now())
@@ -253,3 +255,48 @@
 		assert.Assert(t, probe.Failed())
 	})
 }
+
+// TestChangeAgainstMapThatWasRead guards against ranks with different maps under one
+// version: a leader that has read the map in force from the engines does not know in
+// which slots the former leader had put the experts, and encodes the next map as a change
+// against what it has read. Agents that applied the change to their own copy of the same
+// version got another map, which came into force.
+func TestChangeAgainstMapThatWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSimGroup(t, 6, simFaults{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var passes sync.WaitGroup
+		passes.Go(func() { g.run(ctx) })
+		switchTo := func(leader int, base, m expertmap.Map) {
+			t.Helper()
+			client := g.client(leader)
+			client.base = base
+			highest := uint64(0)
+			for rank := range g.shape.Ranks {
+				highest = max(highest, g.reconciler(rank).HighestToken())
+			}
+			_, err := Switch(ctx, client, Plan{Epoch: 1, Version: NextVersion(highest), Map: m, Gate: gateOf(leader, g.shape.Ranks), Leader: leader})
+			assert.NilError(t, err)
+			time.Sleep(4 * simPass)
+		}
+		formed := g.engines[0].inForceMap
+		draft := formed.Edit()
+		draft.Set(0, 0, 2, 3) // Rank 0 gets expert 3 beside 0 and 4.
+		withCopy := draft.Map()
+		switchTo(0, formed, withCopy)
+		draft.Set(0, 3, 0, expertmap.Empty) // Rank 3 keeps only expert 7, behind a free slot.
+		withGap := draft.Map()
+		switchTo(0, withCopy, withGap)
+
+		read, err := g.assembleMap(g.engines[0].inForce)
+		assert.NilError(t, err)
+		draft = read.Edit()
+		draft.Set(0, 3, 1, 2)
+		switchTo(2, read, draft.Map())
+		for rank, e := range g.engines {
+			assert.Assert(t, e.inForceMap.Holds(0, 3, 2) && e.inForceMap.Holds(0, 3, 7), "rank %d has another map", rank)
+		}
+		cancel()
+		passes.Wait()
+	})
+}
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -40,6 +40,9 @@
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
 	maxExtraSteps   = 12
+	// invalidMapRest is the time after an engine found a map invalid before the next
+	// one is planned.
+	invalidMapRest = time.Second
 	// minGain is the minimum part of the objective that a change has to remove.
 	// Smaller gains do not justify a switch, during which the group cannot adapt
 	// to other shifts of demand.
@@ -71,10 +74,9 @@
 	// maps holds the content of the map in force and of the newest one.
 	maps  map[uint64]expertmap.Map
 	epoch uint64
-	// sent is the map that was last sent to the ranks, with its version. They keep it
-	// also if it has not come into force.
-	sent        expertmap.Map
-	sentVersion uint64
+	// sent is the normalized map that was last sent to the ranks. They keep it also if it has not
+	// come into force.
+	sent expertmap.Map
 	// switchedVersion is the version of the newest switch and switchedAt its
 	// time.
 	switchedVersion uint64
@@ -93,6 +95,8 @@
 	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
+	// restUntil is the time before which no map is planned, after an invalid one.
+	restUntil time.Time
 	// reason is the reason of the latest decision. A decision to keep the map is
 	// logged only if its reason differs.
 	reason placement.Reason
@@ -261,7 +265,7 @@
 		l.holdCheckedAt = now
 		return l.endAbandonedHold(ctx, group)
 	}
-	if now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
+	if now.Before(l.restUntil) || now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
 	if l.demand.shifting() || l.kept.holds(state.InForce, l.demand, now) {
@@ -280,8 +284,8 @@
 	if err != nil {
 		return err
 	}
-	if group.base, group.baseVersion = l.sent, l.sentVersion; group.baseVersion == 0 {
-		group.base, group.baseVersion = inForce, state.InForce
+	if group.base = l.sent; group.base.Shape() != l.shape {
+		group.base = inForce
 	}
 	began := time.Now()
 	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
@@ -314,11 +318,11 @@
 func (l *leader) applyDecision(ctx context.Context, group *httpGroupClient, state State, d placement.Decision, decisionBegan time.Time, util float64) error {
 	began := time.Now()
 	plan := Plan{
-		Epoch: state.Epoch, Map: d.Map, Gate: gateOf(state.Rank, l.shape.Ranks), Leader: state.Rank,
+		Epoch: state.Epoch, Map: d.Map.Normalize(), Gate: gateOf(state.Rank, l.shape.Ranks), Leader: state.Rank,
 		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
-	l.sent, l.sentVersion = d.Map, plan.Version
+	l.sent = plan.Map
 	states, err := l.prepareWhileCurrent(ctx, group, plan)
 	closedFor := time.Duration(0)
 	if err == nil {
@@ -337,10 +341,15 @@
 		if errors.As(err, &fenced) {
 			l.agent.reconciler.raiseToken(fenced.Newest)
 		}
+		if errors.As(err, new(*InvalidOrderError)) {
+			// The map was derived from a wrong one, which must be read again.
+			clear(l.maps)
+			l.restUntil = time.Now().Add(invalidMapRest)
+		}
 		return err
 	}
 	l.recordSwitchTime(time.Since(began), d.After.LoadTime)
-	maps := map[uint64]expertmap.Map{plan.Version: d.Map}
+	maps := map[uint64]expertmap.Map{plan.Version: plan.Map}
 	if m, ok := l.maps[state.InForce]; ok {
 		maps[state.InForce] = m
 	}
@@ -458,7 +467,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, armTimeout)
 	defer cancel()
-	m, err := group.mapInForce(ctx, l.shape)
+	m, err := group.mapInForce(ctx, l.shape, state.InForce)
 	if err == nil {
 		l.maps[state.InForce] = m
 	}
--- a/rankgroup/mapcache_test.go
+++ b/rankgroup/mapcache_test.go
@@ -64,11 +64,11 @@
 		largest = max(largest, r.ContentLength)
 		agent.serveGoal(w, r)
 	})
-	send := func(baseVersion uint64, base expertmap.Map, version uint64, m expertmap.Map) {
+	send := func(base expertmap.Map, version uint64, m expertmap.Map) {
 		t.Helper()
 		c := &httpGroupClient{
 			client: server.Client(), addresses: []string{"", strings.TrimPrefix(server.URL, "http://")},
-			log: agent.log, base: base, baseVersion: baseVersion,
+			log: agent.log, base: base,
 		}
 		largest = 0
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -84,19 +84,19 @@
 			// The first map gives each rank the experts rank and rank+96 of a layer.
 			draft.Set(rank%16, rank, 4, (expertmap.Expert(rank)+e)%96)
 		}
-		return draft.Map()
+		return draft.Map().Normalize()
 	}
 	first := edit(formed, 7)
-	send(0, expertmap.Map{}, 10, first)
+	send(expertmap.Map{}, 10, first)
 	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
 	second := edit(first, 9)
-	send(10, first, 20, second)
+	send(first, 20, second)
 	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
 	agent = newAgent()
 	engine.state.PreparedVersion = 0
 	third := edit(second, 11)
-	send(20, second, 30, third)
-	send(30, third, 40, edit(third, 12))
+	send(second, 30, third)
+	send(third, 40, edit(third, 12))
 	assert.Assert(t, largest < 2<<10, "%d bytes", largest)
 }
 
--- a/rankgroup/peers.go
+++ b/rankgroup/peers.go
@@ -42,11 +42,9 @@
 	selfRank   int
 	reconciler *Reconciler
 
-	// base is the map, with its version, against which changes of maps are encoded:
-	// the latest one that the agents have probably received. A zero version stands
-	// for none.
-	base        expertmap.Map
-	baseVersion uint64
+	// base is the normalized map against which changes of maps are encoded: the latest
+	// one that the agents have probably received.
+	base expertmap.Map
 
 	mu sync.Mutex
 	// unresponsive holds the ranks whose agents did not answer.
@@ -56,8 +54,17 @@
 // Size implements GroupClient.
 func (c *httpGroupClient) Size() int { return len(c.addresses) }
 
-// Ensure implements GroupClient.
+// Ensure implements GroupClient. It returns a *WrongRankError if the registered
+// address is that of another rank's agent or engine by now.
 func (c *httpGroupClient) Ensure(ctx context.Context, rank int, goal Goal) (State, error) {
+	state, err := c.ensure(ctx, rank, goal)
+	if err == nil && state.Rank != rank {
+		return state, &WrongRankError{Want: rank, Got: state.Rank}
+	}
+	return state, err
+}
+
+func (c *httpGroupClient) ensure(ctx context.Context, rank int, goal Goal) (State, error) {
 	if rank == c.selfRank {
 		return c.reconciler.Ensure(ctx, goal)
 	}
@@ -114,30 +121,7 @@
 	if goal.Kind != GoalPrepared {
 		return c.postGoal(ctx, rank, goal)
 	}
-	m, err := expertmap.Unmarshal(goal.Map)
-	if err != nil {
-		return State{}, err
-	}
-	if c.baseVersion != 0 && c.base.Shape() == m.Shape() {
-		state, err := c.postChange(ctx, rank, goal, c.baseVersion, c.base, m)
-		if !errors.As(err, new(*UnknownBaseError)) {
-			return state, err
-		}
-	}
-	first, err := expertmap.InTurn(m.Shape())
-	if err != nil {
-		return State{}, err
-	}
-	return c.postChange(ctx, rank, goal, 0, first, m)
-}
-
-// postChange sends a goal with the change of its map m against a base.
-func (c *httpGroupClient) postChange(ctx context.Context, rank int, goal Goal, baseVersion uint64, base, m expertmap.Map) (State, error) {
-	goal, err := goal.withChange(baseVersion, base, m)
-	if err != nil {
-		return State{}, err
-	}
-	return c.postGoal(ctx, rank, goal)
+	return sendMap(goal, c.base, func(goal Goal) (State, error) { return c.postGoal(ctx, rank, goal) })
 }
 
 // postGoal sends an encoded goal to the agent of a rank.
@@ -166,8 +150,9 @@
 	return r.Ensure(ctx, goal)
 }
 
-// mapInForce assembles the map in force from the experts of all ranks.
-func (c *httpGroupClient) mapInForce(ctx context.Context, shape expertmap.Shape) (expertmap.Map, error) {
+// mapInForce assembles the map in force from the experts of all ranks. It returns a
+// *MixedMapsError unless all ranks list the experts of the given version.
+func (c *httpGroupClient) mapInForce(ctx context.Context, shape expertmap.Shape, version uint64) (expertmap.Map, error) {
 	m, err := expertmap.New(shape)
 	if err != nil {
 		return m, err
@@ -184,14 +169,14 @@
 		return m, err
 	}
 	for rank, response := range responses {
-		if version := responses[0].Version; response.Version != version {
+		if response.Version != version {
 			return m, &MixedMapsError{First: version, Other: response.Version}
 		}
 		if err := setExperts(draft, shape, rank, response.Experts); err != nil {
 			return m, err
 		}
 	}
-	return draft.Map(), nil
+	return draft.Map().Normalize(), nil
 }
 
 // experts returns the experts of the map in force that a rank holds.
--- a/rankgroup/rankgroup.go
+++ b/rankgroup/rankgroup.go
@@ -119,8 +119,8 @@
 	// Experts returns the experts of the map in force that the engine holds, by
 	// layer, and the version of that map.
 	Experts(ctx context.Context) (version uint64, experts [][]expertmap.Expert, err error)
-	// Order sends an order. A *RefusedError means that the engine refused it.
-	// After any other error it is unknown whether the order has been or will be
+	// Order sends an order. A *RefusedError or *InvalidOrderError means that the
+	// engine refused it. After any other error it is unknown whether the order has been or will be
 	// executed.
 	Order(ctx context.Context, o Order) error
 }
@@ -140,6 +140,16 @@
 	return e.Order.String() + " refused: it does not fit the engine's state"
 }
 
+// InvalidOrderError is returned when an engine cannot execute an order in any state,
+// for example because a map breaks the engine's limits.
+type InvalidOrderError struct {
+	Order  OrderKind
+	Detail string
+}
+
+// Error implements error.
+func (e *InvalidOrderError) Error() string { return e.Order.String() + " is invalid: " + e.Detail }
+
 // FencedError is returned when an agent has seen the token of a newer leader.
 type FencedError struct{ Token, Newest uint64 }
 
--- a/rankgroup/reconciler.go
+++ b/rankgroup/reconciler.go
@@ -27,10 +27,12 @@
 	// Map is the map for GoalPrepared, as encoded by expertmap.
 	Map []byte `json:"map,omitempty"`
 	// Base and Change describe the map for GoalPrepared if Map is empty: its change
-	// against the map with version Base, as encoded by expertmap. Base zero is
-	// expertmap.InTurn, with which a group forms.
-	Base   uint64 `json:"base,omitempty"`
-	Change []byte `json:"change,omitempty"`
+	// against the map with hash Base, as encoded by expertmap. Base zero is
+	// expertmap.InTurn, with which a group forms. MapHash is the hash of the map that
+	// results. All three maps are normalized.
+	Base    uint64 `json:"base,omitempty"`
+	Change  []byte `json:"change,omitempty"`
+	MapHash uint64 `json:"map_hash,omitempty"`
 	// Shape is the shape of the group's maps, for GoalDisarmed and with Change.
 	Shape expertmap.Shape `json:"shape"`
 }
@@ -107,8 +109,8 @@
 }
 
 // Ensure brings the engine to a goal and returns the engine's state once the
-// goal is reached. It returns a *FencedError, *EpochError, *PassedError or
-// *RefusedError, or, when the context ends, the most recent failure.
+// goal is reached. It returns a *FencedError, *EpochError, *PassedError,
+// *RefusedError or *InvalidOrderError, or, when the context ends, the most recent failure.
 func (r *Reconciler) Ensure(ctx context.Context, goal Goal) (State, error) {
 	if err := r.admit(goal); err != nil {
 		return State{}, err
@@ -161,7 +163,7 @@
 
 func isFinal(err error) bool {
 	switch err.(type) {
-	case *FencedError, *EpochError, *PassedError, *RefusedError:
+	case *FencedError, *EpochError, *PassedError, *RefusedError, *InvalidOrderError:
 		return true
 	}
 	return false
--- a/rankgroup/sim_test.go
+++ b/rankgroup/sim_test.go
@@ -3,23 +3,31 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 )
 
-// simShape is the shape of the maps of simulated groups.
+// simShape is the usual shape of the maps of simulated groups.
 var simShape = expertmap.Shape{Layers: 1, Experts: 8, Ranks: 4, Slots: 4}
 
+// simSpare is the number of slots of a rank and layer that are kept for loading
+// weights. The others are the most that a map may use.
+const simSpare = 1
+
 // simPass is the time of a pass, and simLag the age of an engine's state when
 // it is read from another VM.
 const (
 	simPass = 50 * time.Millisecond
 	simLag  = 250 * time.Millisecond
+	// simFormTime is the time from the crash of a rank until the group is ready again.
+	simFormTime = 1600 * time.Millisecond
 )
 
 // errNoAnswer is the result of a call that gets no answer.
@@ -38,10 +46,14 @@
 type simGroup struct {
 	t      *testing.T
 	faults simFaults
-
-	mu          sync.Mutex
-	rng         *rand.Rand
-	step        uint64
+	shape  expertmap.Shape
+
+	mu   sync.Mutex
+	rng  *rand.Rand
+	step uint64
+	// epoch counts how often the group has formed; it makes no pass before readyAt.
+	epoch       uint64
+	readyAt     time.Time
 	engines     []*simEngine
 	reconcilers []*Reconciler
 	// Frozen VMs run nothing and answer no call. The engine of a killed agent
@@ -58,6 +70,12 @@
 	// and process run.
 	leaders      []int
 	leaderSeenAt time.Time
+	// caches holds the maps that each agent keeps, and sent the map that each agent
+	// has sent last as a leader. Both end with the process.
+	caches []*mapCache
+	sent   []expertmap.Map
+	// invalid counts the maps that engines have refused as invalid.
+	invalid int
 }
 
 // simEngine is one engine of a simulated group.
@@ -67,10 +85,12 @@
 	inForce       uint64
 	newestVersion uint64
 	prepared      uint64
-	armed         *ArmedSwitch
-	holdAt        uint64
-	token         uint64
-	history       []pastState
+	// inForceMap and preparedMap are the whole maps, as the engine got them.
+	inForceMap, preparedMap expertmap.Map
+	armed                   *ArmedSwitch
+	holdAt                  uint64
+	token                   uint64
+	history                 []pastState
 }
 
 type pastState struct {
@@ -79,16 +99,38 @@
 }
 
 func newSimGroup(t *testing.T, seed uint64, faults simFaults) *simGroup {
-	g := &simGroup{t: t, faults: faults, rng: rand.New(rand.NewPCG(seed, 1)), versionsInForce: make(map[uint64]bool),
-		frozen: make([]bool, simShape.Ranks), killed: make([]bool, simShape.Ranks)}
-	for rank := range simShape.Ranks {
-		e := &simEngine{g: g, rank: rank}
+	return newSimGroupOf(t, simShape, seed, faults)
+}
+
+func newSimGroupOf(t *testing.T, shape expertmap.Shape, seed uint64, faults simFaults) *simGroup {
+	g := &simGroup{t: t, faults: faults, shape: shape, epoch: 1, rng: rand.New(rand.NewPCG(seed, 1)), versionsInForce: make(map[uint64]bool),
+		frozen: make([]bool, shape.Ranks), killed: make([]bool, shape.Ranks), sent: make([]expertmap.Map, shape.Ranks)}
+	formed, err := expertmap.InTurn(shape)
+	assert.NilError(t, err)
+	for rank := range shape.Ranks {
+		e := &simEngine{g: g, rank: rank, inForceMap: formed}
 		g.engines = append(g.engines, e)
 		g.reconcilers = append(g.reconcilers, NewReconciler(&localEngine{e}))
+		g.caches = append(g.caches, &mapCache{})
 	}
 	return g
 }
 
+// crash restarts the engine of a rank: the group forms again, with the map with which
+// it first formed.
+func (g *simGroup) crash(rank int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	formed, err := expertmap.InTurn(g.shape)
+	assert.Check(g.t, err)
+	g.epoch++
+	g.readyAt = time.Now().Add(simFormTime)
+	for _, e := range g.engines {
+		e.inForce, e.prepared, e.armed, e.holdAt, e.inForceMap = 0, 0, nil, 0, formed
+	}
+	g.engines[rank].token, g.engines[rank].newestVersion = 0, 0
+}
+
 func (g *simGroup) reconciler(rank int) *Reconciler {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,19 +173,22 @@
 		}
 	}
 	g.blockedSince = time.Time{}
-	if g.idle {
+	if g.idle || now.Before(g.readyAt) {
 		return
 	}
 	g.step = next
 	for _, e := range g.engines {
 		if e.armed != nil && next >= e.armed.Step {
-			e.inForce, e.prepared, e.armed = e.armed.Version, 0, nil
+			e.inForce, e.inForceMap, e.prepared, e.armed = e.armed.Version, e.preparedMap, 0, nil
 		}
 	}
 	for _, e := range g.engines {
 		if e.inForce != g.engines[0].inForce {
 			g.t.Errorf("pass %d: rank %d has map %d, rank 0 map %d", next, e.rank, e.inForce, g.engines[0].inForce)
 		}
+		if !e.inForceMap.Equal(g.engines[0].inForceMap) {
+			g.t.Errorf("pass %d: rank %d has another content of map %d than rank 0", next, e.rank, e.inForce)
+		}
 	}
 	g.versionsInForce[g.engines[0].inForce] = true
 }
@@ -156,7 +201,7 @@
 }
 
 func (e *simEngine) state() State {
-	s := State{Group: "g", Epoch: 1, Rank: e.rank, Size: simShape.Ranks, GroupReady: true, Step: e.g.step, InForce: e.inForce, PreparedVersion: e.prepared, HoldAt: e.holdAt, Running: 1}
+	s := State{Group: "g", Epoch: e.g.epoch, Rank: e.rank, Size: e.g.shape.Ranks, GroupReady: !time.Now().Before(e.g.readyAt), Step: e.g.step, InForce: e.inForce, PreparedVersion: e.prepared, HoldAt: e.holdAt, Running: 1}
 	if e.armed != nil {
 		a := *e.armed
 		s.Armed = &a
@@ -172,7 +217,7 @@
 			return e.history[i].s
 		}
 	}
-	return State{Group: "g", Epoch: 1, Rank: e.rank, Size: simShape.Ranks, GroupReady: true}
+	return State{Group: "g", Epoch: 1, Rank: e.rank, Size: e.g.shape.Ranks, GroupReady: true}
 }
 
 // execute executes an order. The caller holds the lock.
@@ -184,12 +229,19 @@
 		e.token = o.Token
 	}
 	refused := &RefusedError{Order: o.Kind}
+	if o.Epoch != 0 && o.Epoch != e.g.epoch {
+		return refused
+	}
 	switch o.Kind {
 	case Prepare:
-		if o.Version <= e.newestVersion || e.armed != nil {
+		if err := e.checkMap(o.Map); err != nil {
+			e.g.invalid++
+			return &InvalidOrderError{Order: o.Kind, Detail: err.Error()}
+		}
+		if o.Version <= e.newestVersion || e.armed != nil || e.newExperts(o.Map) > simSpare {
 			return refused
 		}
-		e.newestVersion, e.prepared = o.Version, o.Version
+		e.newestVersion, e.prepared, e.preparedMap = o.Version, o.Version, o.Map
 	case Arm:
 		if e.prepared != o.Version || e.g.step >= o.Step {
 			return refused
@@ -215,6 +267,52 @@
 	return nil
 }
 
+// checkMap returns an error if a map does not hold each expert, or has more experts on
+// a rank than a map may use.
+func (e *simEngine) checkMap(m expertmap.Map) error {
+	if m.Shape() != e.g.shape {
+		return errors.New("shape")
+	}
+	for layer := range e.g.shape.Layers {
+		for rank := range e.g.shape.Ranks {
+			if slotsUsed(m.Rank(layer, rank)) > e.g.shape.Slots-simSpare {
+				return errors.Errorf("rank %d has too many experts", rank)
+			}
+		}
+	}
+	return m.Validate()
+}
+
+func slotsUsed(slots []expertmap.Expert) int {
+	return len(slots) - len(slices.DeleteFunc(slices.Clone(slots), func(x expertmap.Expert) bool { return x != expertmap.Empty }))
+}
+
+// newExperts returns the largest number of experts of a layer that are new to the rank.
+func (e *simEngine) newExperts(m expertmap.Map) int {
+	most := 0
+	for layer := range e.g.shape.Layers {
+		added := 0
+		for _, x := range m.Rank(layer, e.rank) {
+			if x != expertmap.Empty && !e.inForceMap.Holds(layer, e.rank, x) {
+				added++
+			}
+		}
+		most = max(most, added)
+	}
+	return most
+}
+
+// listed returns the experts of the map in force that the rank holds.
+func (e *simEngine) listed() (uint64, [][]expertmap.Expert, error) {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	layers := make([][]expertmap.Expert, e.g.shape.Layers)
+	for layer := range layers {
+		layers[layer] = slices.DeleteFunc(slices.Clone(e.inForceMap.Rank(layer, e.rank)), func(x expertmap.Expert) bool { return x == expertmap.Empty })
+	}
+	return e.inForce, layers, nil
+}
+
 // order sends an order, subject to the faults of the group.
 func (e *simEngine) order(ctx context.Context, o Order) error {
 	g := e.g
@@ -269,13 +367,7 @@
 func (l *localEngine) Counts(context.Context) (Counts, error) { return Counts{}, nil }
 
 func (l *localEngine) Experts(context.Context) (uint64, [][]expertmap.Expert, error) {
-	return simExperts(l.e.rank)
-}
-
-// simExperts returns the experts of a rank, which are the same in all simulated
-// maps.
-func simExperts(rank int) (uint64, [][]expertmap.Expert, error) {
-	return 0, [][]expertmap.Expert{{expertmap.Expert(rank), expertmap.Expert(rank + simShape.Ranks)}}, nil
+	return l.e.listed()
 }
 
 func (r *remoteEngine) State(ctx context.Context) (State, error) {
@@ -292,20 +384,22 @@
 func (r *remoteEngine) Counts(context.Context) (Counts, error) { return Counts{}, nil }
 
 func (r *remoteEngine) Experts(context.Context) (uint64, [][]expertmap.Expert, error) {
-	return simExperts(r.e.rank)
+	return r.e.listed()
 }
 
 // simGroupClient calls the agents from the VM of one rank. It implements
 // GroupClient by the rules of httpGroupClient: if an agent does not answer a
 // quick goal (Goal.isQuick), orders go directly to its engine.
 type simGroupClient struct {
-	g            *simGroup
-	from         int
+	g    *simGroup
+	from int
+	// base is the map against which changes of maps are encoded.
+	base         expertmap.Map
 	mu           sync.Mutex
 	unresponsive map[int]bool
 }
 
-func (c *simGroupClient) Size() int { return simShape.Ranks }
+func (c *simGroupClient) Size() int { return c.g.shape.Ranks }
 
 func (c *simGroupClient) Hold(ctx context.Context, rank int, o Order) error {
 	if err := c.g.waitWhileFrozen(ctx, c.from); err != nil {
@@ -326,7 +420,7 @@
 	state := g.engines[gate].state()
 	g.mu.Unlock()
 	rec := g.reconciler(gate)
-	return RecoverHold(ctx, g.client(gate), rec.abandonedHold(state, simShape))
+	return RecoverHold(ctx, g.client(gate), rec.abandonedHold(state, g.shape))
 }
 
 // waitWhileFrozen blocks while the VM of a rank is frozen.
@@ -355,7 +449,7 @@
 	if unresponsive {
 		return (&Reconciler{engine: &remoteEngine{c.g.engines[rank]}, stateLag: remoteStateLag}).Ensure(ctx, goal)
 	}
-	state, err := c.callAgent(ctx, rank, goal)
+	state, err := c.sendGoal(ctx, rank, goal)
 	if err != errNoAnswer || !goal.isQuick() || ctx.Err() != nil {
 		return state, err
 	}
@@ -365,6 +459,15 @@
 	return (&Reconciler{engine: &remoteEngine{c.g.engines[rank]}, stateLag: remoteStateLag}).Ensure(ctx, goal)
 }
 
+// sendGoal sends a goal to an agent, a map as its change.
+func (c *simGroupClient) sendGoal(ctx context.Context, rank int, goal Goal) (State, error) {
+	call := func(goal Goal) (State, error) { return c.callAgent(ctx, rank, goal) }
+	if goal.Kind != GoalPrepared || rank == c.from {
+		return call(goal)
+	}
+	return sendMap(goal, c.base, call)
+}
+
 // callAgent calls an agent. The agent continues its work even if the caller has
 // returned.
 func (c *simGroupClient) callAgent(ctx context.Context, rank int, goal Goal) (State, error) {
@@ -383,7 +486,11 @@
 			return
 		}
 		_ = c.g.waitWhileFrozen(ctx, rank)
-		s, err := c.g.reconciler(rank).Ensure(ctx, goal)
+		goal, err := c.g.cache(rank).resolve(goal)
+		s := State{}
+		if err == nil {
+			s, err = c.g.reconciler(rank).Ensure(ctx, goal)
+		}
 		_ = c.g.waitWhileFrozen(ctx, rank)
 		done <- outcome{s, err}
 	}()
@@ -413,6 +520,56 @@
 	return &simGroupClient{g: g, from: from, unresponsive: make(map[int]bool)}
 }
 
+func (g *simGroup) cache(rank int) *mapCache {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.caches[rank]
+}
+
+// assembleMap returns the map in force as a leader reads it from the engines.
+func (g *simGroup) assembleMap(version uint64) (expertmap.Map, error) {
+	m, err := expertmap.New(g.shape)
+	if err != nil {
+		return m, err
+	}
+	draft := m.Edit()
+	for rank, e := range g.engines {
+		listed, experts, err := e.listed()
+		if err != nil {
+			return m, err
+		}
+		if listed != version {
+			return m, &MixedMapsError{First: version, Other: listed}
+		}
+		if err := setExperts(draft, g.shape, rank, experts); err != nil {
+			return m, err
+		}
+	}
+	return draft.Map().Normalize(), nil
+}
+
+// changedMap returns a map with random changes that an engine accepts: it frees slots
+// and puts experts into free ones, so that there are gaps between the experts.
+func changedMap(rng *rand.Rand, from expertmap.Map) expertmap.Map {
+	shape, draft := from.Shape(), from.Edit()
+	for layer := range shape.Layers {
+		for rank := range shape.Ranks {
+			m := draft.Map()
+			slots := m.Rank(layer, rank)
+			slot := rng.IntN(shape.Slots)
+			if e := slots[slot]; e != expertmap.Empty && m.Replicas(layer)[e] > 1 {
+				draft.Set(layer, rank, slot, expertmap.Empty)
+				continue
+			}
+			e := expertmap.Expert(rng.IntN(shape.Experts))
+			if slots[slot] == expertmap.Empty && slotsUsed(slots) < shape.Slots-simSpare && !m.Holds(layer, rank, e) {
+				draft.Set(layer, rank, slot, e)
+			}
+		}
+	}
+	return draft.Map()
+}
+
 // leaderLastSeen returns the time of the last message of a leader.
 func (g *simGroup) leaderLastSeen() time.Time {
 	g.mu.Lock()
@@ -432,15 +589,23 @@
 		state := g.engines[rank].state()
 		g.mu.Unlock()
 		highest := g.reconciler(rank).HighestToken()
-		if state.Armed != nil {
+		if state.Armed != nil || !state.GroupReady {
 			continue
 		}
-		m, err := expertmap.Static(simShape)
+		inForce, err := g.assembleMap(state.InForce)
 		if err != nil {
-			panic(err)
+			continue
 		}
-		_, err = Switch(ctx, g.client(rank), Plan{
-			Epoch: 1, Version: NextVersion(state.InForce, state.PreparedVersion, highest), Map: m, Gate: gateOf(rank, simShape.Ranks), Leader: rank,
+		client := g.client(rank)
+		g.mu.Lock()
+		m := changedMap(g.rng, inForce).Normalize()
+		if client.base = g.sent[rank]; client.base.Shape() != g.shape {
+			client.base = inForce
+		}
+		g.sent[rank] = m
+		g.mu.Unlock()
+		_, err = Switch(ctx, client, Plan{
+			Epoch: state.Epoch, Version: NextVersion(state.InForce, state.PreparedVersion, highest), Map: m, Gate: gateOf(rank, g.shape.Ranks), Leader: rank,
 		})
 		var fenced *FencedError
 		if errors.As(err, &fenced) {
@@ -474,6 +639,6 @@
 			continue
 		}
 		// If the hold is still in place, the next iteration tries again.
-		_ = RecoverHold(ctx, g.client(rank), g.reconciler(rank).abandonedHold(state, simShape))
+		_ = RecoverHold(ctx, g.client(rank), g.reconciler(rank).abandonedHold(state, g.shape))
 	}
 }
