rankgroup: a broken-off switch is disarmed with a map that fits any group

Cause: placeholderMap distributed all experts over the other ranks, the own rank's share too, so that another rank got more than a map may use.

Now only the experts that the own rank does not hold are distributed. A valid map in force proves that they fit. Lists that do not fit give an error.

Test: TestKilledInSwitch kills the leader's agent or all agents in each phase of a switch, in groups of 1, 2, 3, 4, 8, 12 and 96 ranks. Before the fix: 2 ranks panicked, 6 of 14 cases of 3 ranks failed, larger groups passed.

--- a/rankgroup/gate_test.go
+++ b/rankgroup/gate_test.go
@@ -16,7 +16,7 @@
 )
 
 // simulate runs a group for some time, with leaders beside the given ranks and
-// with the faults that inject causes.
+// with the faults that inject causes. A length of zero means until inject returns.
 func simulate(g *simGroup, length time.Duration, leaders []int, inject func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -28,7 +28,9 @@
 	for i, rank := range leaders {
 		tasks.Go(func() { g.runLeader(ctx, rank, time.Duration(200+70*i)*time.Millisecond) })
 	}
-	if inject != nil {
+	if length == 0 {
+		inject(ctx)
+	} else if inject != nil {
 		tasks.Go(func() { inject(ctx) })
 	}
 	time.Sleep(length)
@@ -57,10 +59,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newSimGroup(t, 2, simFaults{})
 		frozen := false
-		g.afterHold = func(int) {
+		g.afterOrder = func(_ int, kind OrderKind) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if frozen || len(g.versionsInForce) < 5 {
+			if kind != Hold || frozen || len(g.versionsInForce) < 5 {
 				return
 			}
 			frozen = true
@@ -148,10 +150,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.killed[rank] = killed
-	if !killed {
-		// A new process starts without any state.
-		g.reconcilers[rank], g.caches[rank], g.sent[rank] = NewReconciler(&localEngine{g.engines[rank]}), &mapCache{}, expertmap.Map{}
+	if killed {
+		g.starts[rank]++
+		return
 	}
+	// A new process starts without any state.
+	g.reconcilers[rank] = NewReconciler(&localEngine{e: g.engines[rank], start: g.starts[rank]})
+	g.caches[rank], g.sent[rank] = &mapCache{}, expertmap.Map{}
 }
 
 // TestRandomHistories: no pass begins with two maps (checked in simGroup.pass),
@@ -300,3 +305,88 @@
 		passes.Wait()
 	})
 }
+
+// TestKilledInSwitch guards against groups that never run again: a switch is broken off
+// in each of its phases, since the leader's agent or all agents are killed. The agent of
+// the gate ends the hold with a map that replaces the prepared one. Engines refused that
+// map in groups of two or three ranks, as it had more experts on a rank than a map may use.
+func TestKilledInSwitch(t *testing.T) {
+	const recoveryTime = 12 * time.Second
+	phases := []struct {
+		kind OrderKind
+		// orders is the number of executed orders of that kind after which the agents
+		// are killed, as a function of the number of ranks.
+		orders func(ranks int) int
+	}{
+		{Prepare, func(int) int { return 1 }}, {Prepare, func(ranks int) int { return ranks }}, {Hold, func(int) int { return 1 }},
+		{Arm, func(int) int { return 1 }}, {Arm, func(ranks int) int { return ranks - 1 }}, {Arm, func(ranks int) int { return ranks }}, {Release, func(int) int { return 1 }},
+	}
+	for _, ranks := range []int{1, 2, 3, 4, 8, 12, 96} {
+		for _, all := range []bool{false, true} {
+			for _, phase := range phases {
+				orders := max(phase.orders(ranks), 1)
+				t.Run(fmt.Sprintf("%d ranks, all killed %t, %s %d", ranks, all, phase.kind, orders), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { testKilledInSwitch(t, ranks, all, phase.kind, orders, recoveryTime) })
+				})
+			}
+		}
+	}
+}
+
+func testKilledInSwitch(t *testing.T, ranks int, all bool, kind OrderKind, orders int, recoveryTime time.Duration) {
+	const (
+		leader   = 0
+		downTime = 1100 * time.Millisecond
+		switches = 3
+		// recoveredPasses are more passes than the step of a hold is ahead.
+		recoveredPasses = 20
+	)
+	g := newSimGroupOf(t, expertmap.Shape{Layers: 2, Experts: 8 * ranks, Ranks: ranks, Slots: 15}, 4, uint64(ranks), simFaults{})
+	executed, killed := 0, make(chan struct{})
+	g.afterOrder = func(_ int, executedKind OrderKind) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if executedKind != kind || len(g.versionsInForce) < switches {
+			return
+		}
+		if executed++; executed != orders {
+			return
+		}
+		close(killed)
+		for rank := range ranks {
+			if all || rank == leader {
+				g.killed[rank] = true
+				g.starts[rank]++
+			}
+		}
+	}
+	simulate(g, 0, []int{leader}, func(context.Context) {
+		select {
+		case <-killed:
+		case <-time.After(time.Minute):
+			t.Error("no switch has reached the phase")
+			return
+		}
+		time.Sleep(downTime)
+		for rank := range ranks {
+			if all || rank == leader {
+				g.setKilled(rank, false)
+			}
+		}
+		before, deadline := g.latestStep(), time.Now().Add(recoveryTime)
+		for g.latestStep() < before+recoveredPasses && time.Now().Before(deadline) {
+			time.Sleep(simPass)
+		}
+		assert.Check(t, g.latestStep() >= before+recoveredPasses, "the group makes no passes %s after the agents are back", recoveryTime)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		assert.Check(t, g.invalid == 0, "%d maps were invalid", g.invalid)
+	})
+}
+
+// latestStep returns the number of the latest pass.
+func (g *simGroup) latestStep() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step
+}
--- a/rankgroup/reconciler.go
+++ b/rankgroup/reconciler.go
@@ -350,8 +350,10 @@
 }
 
 // placeholderMap returns a map that the engine can prepare without loading
-// weights: the engine's own experts stay as they are, and all experts are
-// distributed in turn over the other ranks. The map never comes into force.
+// weights: the engine's own experts stay as they are, and all others are
+// distributed in turn over the other ranks. The map never comes into force. It fits
+// wherever a valid map is in force: in that map the other ranks hold at least these
+// experts, and evenly distributed they need the fewest slots of a rank.
 func (r *Reconciler) placeholderMap(ctx context.Context, shape expertmap.Shape, rank int) (expertmap.Map, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
@@ -368,20 +370,37 @@
 		return m, err
 	}
 	for layer := range shape.Layers {
-		used := make([]int, shape.Ranks)
-		next := rank
-		for e := range shape.Experts {
-			at := e % shape.Ranks
-			if at == rank {
-				next = (next + 1) % shape.Ranks
-				if next == rank {
-					next = (next + 1) % shape.Ranks
-				}
-				at = next
-			}
-			draft.Set(layer, at, used[at], expertmap.Expert(e))
-			used[at]++
+		if err := distributeOthers(draft, shape, layer, rank); err != nil {
+			return m, err
+		}
+	}
+	m = draft.Map().Normalize()
+	return m, m.Validate()
+}
+
+// distributeOthers puts the experts of a layer that a rank does not hold into the slots
+// of the other ranks, in turn.
+func distributeOthers(draft *expertmap.Draft, shape expertmap.Shape, layer, rank int) error {
+	held := make([]bool, shape.Experts)
+	for _, e := range draft.Layer(layer) {
+		if e == expertmap.Empty {
+			continue
 		}
+		if int(e) >= shape.Experts {
+			return &ShapeError{Field: "expert of a layer", Got: int(e), Want: shape.Experts}
+		}
+		held[e] = true
+	}
+	others, placed := shape.Ranks-1, 0
+	for e := range shape.Experts {
+		if held[e] {
+			continue
+		}
+		if placed == others*shape.Slots {
+			return &ShapeError{Field: "experts of a layer on other ranks", Got: placed + 1, Want: placed}
+		}
+		draft.Set(layer, (rank+1+placed%others)%shape.Ranks, placed/others, expertmap.Expert(e))
+		placed++
 	}
-	return draft.Map(), nil
+	return nil
 }
--- a/rankgroup/sim_test.go
+++ b/rankgroup/sim_test.go
@@ -17,10 +17,6 @@
 // simShape is the usual shape of the maps of simulated groups.
 var simShape = expertmap.Shape{Layers: 1, Experts: 8, Ranks: 4, Slots: 4}
 
-// simSpare is the number of slots of a rank and layer that are kept for loading
-// weights. The others are the most that a map may use.
-const simSpare = 1
-
 // simPass is the time of a pass, and simLag the age of an engine's state when
 // it is read from another VM.
 const (
@@ -47,6 +43,9 @@
 	t      *testing.T
 	faults simFaults
 	shape  expertmap.Shape
+	// spare is the number of slots of a rank and layer that are kept for loading
+	// weights. The others are the most that a map may use.
+	spare int
 
 	mu   sync.Mutex
 	rng  *rand.Rand
@@ -59,10 +58,12 @@
 	// Frozen VMs run nothing and answer no call. The engine of a killed agent
 	// continues to run.
 	frozen, killed []bool
+	// starts counts the starts of each agent. The calls of an earlier process fail.
+	starts []int
 	// An idle group begins no pass.
 	idle bool
-	// afterHold is called after a hold has been executed.
-	afterHold       func(rank int)
+	// afterOrder is called after an order has been executed.
+	afterOrder      func(rank int, kind OrderKind)
 	versionsInForce map[uint64]bool
 	blockedSince    time.Time
 	longestBlock    time.Duration
@@ -99,18 +100,18 @@
 }
 
 func newSimGroup(t *testing.T, seed uint64, faults simFaults) *simGroup {
-	return newSimGroupOf(t, simShape, seed, faults)
+	return newSimGroupOf(t, simShape, 1, seed, faults)
 }
 
-func newSimGroupOf(t *testing.T, shape expertmap.Shape, seed uint64, faults simFaults) *simGroup {
-	g := &simGroup{t: t, faults: faults, shape: shape, epoch: 1, rng: rand.New(rand.NewPCG(seed, 1)), versionsInForce: make(map[uint64]bool),
+func newSimGroupOf(t *testing.T, shape expertmap.Shape, spare int, seed uint64, faults simFaults) *simGroup {
+	g := &simGroup{t: t, faults: faults, shape: shape, spare: spare, epoch: 1, starts: make([]int, shape.Ranks), rng: rand.New(rand.NewPCG(seed, 1)), versionsInForce: make(map[uint64]bool),
 		frozen: make([]bool, shape.Ranks), killed: make([]bool, shape.Ranks), sent: make([]expertmap.Map, shape.Ranks)}
 	formed, err := expertmap.InTurn(shape)
 	assert.NilError(t, err)
 	for rank := range shape.Ranks {
 		e := &simEngine{g: g, rank: rank, inForceMap: formed}
 		g.engines = append(g.engines, e)
-		g.reconcilers = append(g.reconcilers, NewReconciler(&localEngine{e}))
+		g.reconcilers = append(g.reconcilers, NewReconciler(&localEngine{e: e}))
 		g.caches = append(g.caches, &mapCache{})
 	}
 	return g
@@ -238,7 +239,7 @@
 			e.g.invalid++
 			return &InvalidOrderError{Order: o.Kind, Detail: err.Error()}
 		}
-		if o.Version <= e.newestVersion || e.armed != nil || e.newExperts(o.Map) > simSpare {
+		if o.Version <= e.newestVersion || e.armed != nil || e.newExperts(o.Map) > e.g.spare {
 			return refused
 		}
 		e.newestVersion, e.prepared, e.preparedMap = o.Version, o.Version, o.Map
@@ -275,7 +276,7 @@
 	}
 	for layer := range e.g.shape.Layers {
 		for rank := range e.g.shape.Ranks {
-			if slotsUsed(m.Rank(layer, rank)) > e.g.shape.Slots-simSpare {
+			if slotsUsed(m.Rank(layer, rank)) > e.g.shape.Slots-e.g.spare {
 				return errors.Errorf("rank %d has too many experts", rank)
 			}
 		}
@@ -336,10 +337,10 @@
 		return errNoAnswer
 	}
 	err := e.execute(o)
-	held := o.Kind == Hold && err == nil && g.afterHold != nil
+	executed := err == nil && g.afterOrder != nil
 	g.mu.Unlock()
-	if held {
-		g.afterHold(e.rank)
+	if executed {
+		g.afterOrder(e.rank, o.Kind)
 	}
 	if x < f.dropped+f.delayed+f.lostAnswer {
 		<-ctx.Done()
@@ -352,17 +353,29 @@
 // localEngine is an engine as its own agent reaches it, remoteEngine as other
 // agents do.
 type (
-	localEngine  struct{ e *simEngine }
+	localEngine struct {
+		e *simEngine
+		// start is the start of the agent's process.
+		start int
+	}
 	remoteEngine struct{ e *simEngine }
 )
 
 func (l *localEngine) State(context.Context) (State, error) {
 	l.e.g.mu.Lock()
 	defer l.e.g.mu.Unlock()
+	if l.e.g.starts[l.e.rank] != l.start {
+		return State{}, errNoAnswer
+	}
 	return l.e.state(), nil
 }
 
-func (l *localEngine) Order(ctx context.Context, o Order) error { return l.e.order(ctx, o) }
+func (l *localEngine) Order(ctx context.Context, o Order) error {
+	if l.e.g.startOf(l.e.rank) != l.start {
+		return errNoAnswer
+	}
+	return l.e.order(ctx, o)
+}
 
 func (l *localEngine) Counts(context.Context) (Counts, error) { return Counts{}, nil }
 
@@ -393,6 +406,8 @@
 type simGroupClient struct {
 	g    *simGroup
 	from int
+	// start is the start of the calling agent's process.
+	start int
 	// base is the map against which changes of maps are encoded.
 	base         expertmap.Map
 	mu           sync.Mutex
@@ -401,15 +416,26 @@
 
 func (c *simGroupClient) Size() int { return c.g.shape.Ranks }
 
-func (c *simGroupClient) Hold(ctx context.Context, rank int, o Order) error {
+// running returns an error if the process of the calling agent has ended.
+func (c *simGroupClient) running(ctx context.Context) error {
 	if err := c.g.waitWhileFrozen(ctx, c.from); err != nil {
 		return err
 	}
+	if c.g.startOf(c.from) != c.start {
+		return errNoAnswer
+	}
+	return nil
+}
+
+func (c *simGroupClient) Hold(ctx context.Context, rank int, o Order) error {
+	if err := c.running(ctx); err != nil {
+		return err
+	}
 	return c.g.engines[rank].order(ctx, o)
 }
 
 func (c *simGroupClient) EndHold(ctx context.Context, gate int) error {
-	if err := c.g.waitWhileFrozen(ctx, c.from); err != nil {
+	if err := c.running(ctx); err != nil {
 		return err
 	}
 	if c.g.isKilled(gate) {
@@ -440,7 +466,7 @@
 }
 
 func (c *simGroupClient) Ensure(ctx context.Context, rank int, goal Goal) (State, error) {
-	if err := c.g.waitWhileFrozen(ctx, c.from); err != nil {
+	if err := c.running(ctx); err != nil {
 		return State{}, err
 	}
 	c.mu.Lock()
@@ -497,7 +523,7 @@
 	select {
 	case o := <-done:
 		// The caller may have been frozen in the meantime.
-		return o.s, errors.WithStack(firstError(c.g.waitWhileFrozen(ctx, c.from), o.err))
+		return o.s, errors.WithStack(firstError(c.running(ctx), o.err))
 	case <-ctx.Done():
 		return State{}, errNoAnswer
 	}
@@ -510,6 +536,13 @@
 	return b
 }
 
+// startOf returns the number of starts of an agent.
+func (g *simGroup) startOf(rank int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.starts[rank]
+}
+
 func (g *simGroup) isKilled(rank int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -517,7 +550,7 @@
 }
 
 func (g *simGroup) client(from int) *simGroupClient {
-	return &simGroupClient{g: g, from: from, unresponsive: make(map[int]bool)}
+	return &simGroupClient{g: g, from: from, start: g.startOf(from), unresponsive: make(map[int]bool)}
 }
 
 func (g *simGroup) cache(rank int) *mapCache {
@@ -550,20 +583,22 @@
 
 // changedMap returns a map with random changes that an engine accepts: it frees slots
 // and puts experts into free ones, so that there are gaps between the experts.
-func changedMap(rng *rand.Rand, from expertmap.Map) expertmap.Map {
+func changedMap(rng *rand.Rand, from expertmap.Map, spare int) expertmap.Map {
 	shape, draft := from.Shape(), from.Edit()
 	for layer := range shape.Layers {
+		replicas := from.Replicas(layer)
 		for rank := range shape.Ranks {
-			m := draft.Map()
-			slots := m.Rank(layer, rank)
+			slots := draft.Layer(layer)[rank*shape.Slots:][:shape.Slots]
 			slot := rng.IntN(shape.Slots)
-			if e := slots[slot]; e != expertmap.Empty && m.Replicas(layer)[e] > 1 {
+			if e := slots[slot]; e != expertmap.Empty && replicas[e] > 1 {
 				draft.Set(layer, rank, slot, expertmap.Empty)
+				replicas[e]--
 				continue
 			}
 			e := expertmap.Expert(rng.IntN(shape.Experts))
-			if slots[slot] == expertmap.Empty && slotsUsed(slots) < shape.Slots-simSpare && !m.Holds(layer, rank, e) {
+			if slots[slot] == expertmap.Empty && slotsUsed(slots) < shape.Slots-spare && !slices.Contains(slots, e) {
 				draft.Set(layer, rank, slot, e)
+				replicas[e]++
 			}
 		}
 	}
@@ -598,7 +633,7 @@
 		}
 		client := g.client(rank)
 		g.mu.Lock()
-		m := changedMap(g.rng, inForce).Normalize()
+		m := changedMap(g.rng, inForce, g.spare).Normalize()
 		if client.base = g.sent[rank]; client.base.Shape() != g.shape {
 			client.base = inForce
 		}
