follow: copies of tables are verified while the store is silent to open calls

Cause: a call for changes that the store never answers looks like a table without changes until it times out after 22 s. A silence of a moment suffices.

Now a copy is used for at most 1.5 s without an answer. Then the store is asked for changes without waiting; if it shows any or does not answer, the open call is given up. The end of an outage is recorded before the first list is applied, so that entries that lapsed stay in use as intended.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,11 @@
 	Backoff time.Duration
 	// FastStart shortens the interval in the first seconds.
 	FastStart bool
+	// VerifyInterval is the maximum time for which the copy is used without an answer
+	// of the store. A store or a connection that falls silent leaves a call of Changes
+	// unanswered, and nothing shows that changes are missing. With zero only the
+	// timeout of the call ends this.
+	VerifyInterval time.Duration
 }
 
 // MaxBackoff is the maximum delay after a failed call. Changes during an outage are
@@ -85,6 +91,12 @@
 const MaxBackoff = time.Second
 
 const (
+	// verifyTimeout bounds the first call that verifies a copy. Later calls, after it
+	// has failed, have the timeout of the Source.
+	verifyTimeout = 1500 * time.Millisecond
+	// minVerifyPart is the shortest time between two verifications as a part of
+	// VerifyInterval. The times are random, so that not all processes call at once.
+	minVerifyPart = 0.7
 	// For fastStartPeriod after the start the interval is at most fastStartInterval:
 	// after a power failure all processes start, and all tables change, at once.
 	fastStartPeriod   = 3 * time.Second
@@ -112,12 +124,23 @@
 	lostAt, backAt time.Time
 	// responded is true once the store has responded.
 	responded bool
+	// verifiedAt is the time of the latest response.
+	verifiedAt time.Time
+	// answered is closed and replaced with each response.
+	answered chan struct{}
+	// interruptPoll ends the pending call for changes, nil if there is none.
+	interruptPoll context.CancelFunc
+	// verifyNow holds a value while the copy has to be verified at once.
+	verifyNow chan struct{}
 }
 
 // New returns a Follower. onChange is called with each copy that has another content
 // than the previous one, one call at a time.
 func New(table string, source Source, timing Timing, log *slog.Logger, onChange func(Copy)) *Follower {
-	f := &Follower{firstCopy: make(chan struct{}), table: table, source: source, timing: timing, log: log, onChange: onChange, lostAt: time.Now()}
+	f := &Follower{
+		firstCopy: make(chan struct{}), answered: make(chan struct{}), verifyNow: make(chan struct{}, 1),
+		table: table, source: source, timing: timing, log: log, onChange: onChange, lostAt: time.Now(),
+	}
 	f.current.Store(&Copy{})
 	return f
 }
@@ -181,38 +204,189 @@
 
 // Run keeps the copy up to date until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	var verify sync.WaitGroup
+	if f.timing.VerifyInterval > 0 {
+		verify.Go(func() { f.verify(ctx) })
+	}
+	f.poll(ctx)
+	verify.Wait()
+}
+
+// poll reads the table and then receives its changes until the context ends.
+func (f *Follower) poll(ctx context.Context) {
 	backoff, began := f.timing.Backoff, time.Now()
 	for ctx.Err() == nil {
-		err := f.syncOnce(ctx)
+		verified := f.timing.VerifyInterval > 0 && f.hasCopy()
+		err := f.pollOnce(ctx)
 		pause := f.timing.MinInterval
-		if err != nil {
-			pause = backoff
-			backoff = min(2*backoff, MaxBackoff)
-		} else {
+		switch {
+		case err == nil:
 			backoff = f.timing.Backoff
 			if f.timing.FastStart && time.Since(began) < fastStartPeriod {
 				pause = min(pause, fastStartInterval)
 			}
+		case errors.As(err, new(*interruptedError)):
+			pause, backoff = 0, f.timing.Backoff
+		default:
+			if verified {
+				// Whether the store is lost is shown by a call that is answered at once.
+				f.requestVerification()
+			} else {
+				f.recordLoss(ctx, time.Now(), err)
+			}
+			pause = backoff
+			backoff = min(2*backoff, MaxBackoff)
 		}
-		if ctx.Err() == nil {
-			f.recordResult(err)
+		sleep(ctx, pause)
+		if verified {
+			f.awaitStore(ctx)
+		}
+	}
+}
+
+// awaitStore waits while the store is lost, until the context ends.
+func (f *Follower) awaitStore(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		lost, answered := !f.lostAt.IsZero(), f.answered
+		f.mu.Unlock()
+		if !lost {
+			return
 		}
-		timer := time.NewTimer(pause)
+		select {
+		case <-answered:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// sleep waits for some time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// interruptedError is returned for a call for changes that was ended because it would
+// probably get no answer.
+type interruptedError struct{}
+
+// Error implements error.
+func (*interruptedError) Error() string { return "call for changes interrupted" }
+
+// pollOnce makes one call to the store, which verify may interrupt.
+func (f *Follower) pollOnce(ctx context.Context) error {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setInterrupt(cancel)
+	defer f.setInterrupt(nil)
+	err := f.fetch(callCtx, f.timing.PollTimeout)
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return &interruptedError{}
+	}
+	return err
+}
+
+func (f *Follower) setInterrupt(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interruptPoll = cancel
+}
+
+// interrupt ends the pending call for changes.
+func (f *Follower) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.interruptPoll != nil {
+		f.interruptPoll()
+	}
+}
+
+// requestVerification makes verify call the store at once.
+func (f *Follower) requestVerification() {
+	select {
+	case f.verifyNow <- struct{}{}:
+	default:
+	}
+}
+
+// verify makes sure that the store has answered within VerifyInterval, until the context
+// ends. It requests changes without waiting for one. If they are late, or the store does
+// not answer, the pending call for changes is interrupted: it will probably get no
+// answer, even when the store is back.
+func (f *Follower) verify(ctx context.Context) {
+	select {
+	case <-f.firstCopy:
+	case <-ctx.Done():
+		return
+	}
+	backoff, lost := f.timing.Backoff, false
+	for ctx.Err() == nil {
+		if !lost && !f.awaitDue(ctx) {
+			return
+		}
+		before, began := f.Current().Changed, time.Now()
+		err := f.verifyOnce(ctx, lost)
+		if err == nil {
+			backoff, lost = f.timing.Backoff, false
+			if f.Current().Changed != before {
+				f.interrupt()
+			}
+			continue
+		}
+		lost = true
+		f.recordLoss(ctx, began, err)
+		f.interrupt()
+		sleep(ctx, backoff)
+		backoff = min(2*backoff, MaxBackoff)
+	}
+}
+
+// verifyOnce requests the changes without waiting for one.
+func (f *Follower) verifyOnce(ctx context.Context, lost bool) error {
+	if !lost {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, verifyTimeout)
+		defer cancel()
+	}
+	return f.fetch(ctx, 0)
+}
+
+// awaitDue waits until the copy has to be verified. It returns false if the context
+// ends before.
+func (f *Follower) awaitDue(ctx context.Context) bool {
+	part := minVerifyPart + (1-minVerifyPart)*rand.Float64()
+	interval := time.Duration(part * float64(f.timing.VerifyInterval))
+	for {
+		f.mu.Lock()
+		left := time.Until(f.verifiedAt.Add(interval))
+		f.mu.Unlock()
+		if left <= 0 {
+			return true
+		}
+		timer := time.NewTimer(left)
 		select {
 		case <-timer.C:
+		case <-f.verifyNow:
+			timer.Stop()
+			return true
 		case <-ctx.Done():
 			timer.Stop()
+			return false
 		}
 	}
 }
 
-// syncOnce makes one call to the store, to read the table or its changes.
-func (f *Follower) syncOnce(ctx context.Context) error {
+// fetch makes one call to the store, to read the table or its changes.
+func (f *Follower) fetch(ctx context.Context, wait time.Duration) error {
 	cur := f.Current()
 	if !f.hasCopy() {
 		return f.read(ctx)
 	}
-	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf, f.timing.PollTimeout)
+	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf, wait)
 	var lost *LostHistoryError
 	if errors.As(err, &lost) {
 		f.log.Info("table changes no longer available, reading the whole table", "table", f.table, "as_of", cur.AsOf)
@@ -221,6 +395,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordAnswer()
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
 	f.install(apply(f.Current(), changes, asOf))
@@ -232,6 +407,7 @@
 	if err != nil {
 		return err
 	}
+	f.recordAnswer()
 	c.Changed = max(c.Changed, c.newestVersion())
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
@@ -257,25 +433,38 @@
 	return true
 }
 
-// recordResult records whether the store responds, and logs changes.
-func (f *Follower) recordResult(err error) {
+// recordLoss records that a call that began at the given time has failed, and logs that
+// the store is lost.
+func (f *Follower) recordLoss(ctx context.Context, began time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case err != nil && f.lostAt.IsZero():
-		f.lostAt = time.Now()
-		metric.StoreLost.Inc()
-		f.log.Warn("store does not answer", "table", f.table, "error", err.Error(), "as_of", f.Current().AsOf)
-	case err == nil && !f.lostAt.IsZero():
-		now := time.Now()
-		if f.responded && now.Sub(f.lostAt) >= MinOutage {
-			f.backAt = now
-		}
-		f.responded = true
-		metric.StoreBack.Inc()
-		f.log.Info("store answers", "table", f.table, "away", now.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
-		f.lostAt = time.Time{}
+	if ctx.Err() != nil || !f.lostAt.IsZero() || f.verifiedAt.After(began) {
+		return
+	}
+	f.lostAt = began
+	metric.StoreLost.Inc()
+	f.log.Warn("store does not answer", "table", f.table, "error", err.Error(), "as_of", f.Current().AsOf)
+}
+
+// recordAnswer records that the store has answered. It is called before the answer is
+// installed, so that the consumer of the copy knows that an outage has ended.
+func (f *Follower) recordAnswer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.verifiedAt = now
+	close(f.answered)
+	f.answered = make(chan struct{})
+	if f.lostAt.IsZero() {
+		return
+	}
+	if f.responded && now.Sub(f.lostAt) >= MinOutage {
+		f.backAt = now
 	}
+	f.responded = true
+	metric.StoreBack.Inc()
+	f.log.Info("store answers", "table", f.table, "away", now.Sub(f.lostAt).String(), "as_of", f.Current().AsOf)
+	f.lostAt = time.Time{}
 }
 
 // apply returns the copy that results from applying changes to c. Changes that c
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -25,9 +25,41 @@
 	kept    uint64
 	down    bool
 	calls   int
+	// Calls that arrive while silent is set are never answered, nor are the pending ones
+	// if silenced, which is closed then, is set.
+	silent   bool
+	silenced chan struct{}
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{version: 1, rows: make(map[string]Row)} }
+func newFakeStore() *fakeStore {
+	return &fakeStore{version: 1, rows: make(map[string]Row), silenced: make(chan struct{})}
+}
+
+// setSilent makes the store answer no calls that arrive from now on, and with pending
+// none of those that have arrived, or ends that.
+func (s *fakeStore) setSilent(silent, pending bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	if pending {
+		close(s.silenced)
+		s.silenced = make(chan struct{})
+	}
+}
+
+// callTimeout is the time after which a client gives up a call beyond the time for which
+// the store keeps it open.
+const callTimeout = 2 * time.Second
+
+// awaitTimeout is a call that is never answered.
+func awaitTimeout(ctx context.Context, timeout time.Duration) error {
+	select {
+	case <-time.After(timeout):
+		return errDown
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 func (s *fakeStore) put(key, value string) {
 	s.mu.Lock()
@@ -65,10 +97,14 @@
 	s.down = down
 }
 
-func (s *fakeStore) Read(context.Context, string) (Copy, error) {
+func (s *fakeStore) Read(ctx context.Context, _ string) (Copy, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls++
+	if s.silent {
+		s.mu.Unlock()
+		return Copy{}, awaitTimeout(ctx, callTimeout)
+	}
+	defer s.mu.Unlock()
 	if s.down {
 		return Copy{}, errDown
 	}
@@ -82,9 +118,18 @@
 func (s *fakeStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
 	s.mu.Lock()
 	s.calls++
+	silent, silenced := s.silent, s.silenced
 	s.mu.Unlock()
 	end := time.Now().Add(wait)
+	if silent {
+		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+	}
 	for {
+		select {
+		case <-silenced:
+			return nil, 0, awaitTimeout(ctx, time.Until(end)+callTimeout)
+		default:
+		}
 		s.mu.Lock()
 		switch {
 		case s.down:
@@ -102,7 +147,10 @@
 		}
 		version := s.version
 		s.mu.Unlock()
-		if len(newer) > 0 || time.Now().After(end) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+		if len(newer) > 0 || !time.Now().Before(end) {
 			return newer, version, nil
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -111,14 +159,21 @@
 
 var testTiming = Timing{PollTimeout: 20 * time.Second, MinInterval: 100 * time.Millisecond, Backoff: 300 * time.Millisecond}
 
+// verifiedTiming has a verified copy.
+var verifiedTiming = Timing{PollTimeout: 20 * time.Second, MinInterval: 900 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: 1500 * time.Millisecond}
+
 // withFollower runs a test with a running Follower in virtual time.
 func withFollower(t *testing.T, test func(s *fakeStore, f *Follower)) {
+	withTimedFollower(t, testTiming, test)
+}
+
+func withTimedFollower(t *testing.T, timing Timing, test func(s *fakeStore, f *Follower)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		var mu sync.Mutex
 		var seen []Copy
 		var f *Follower
-		f = New("table", s, testTiming, slog.New(slog.DiscardHandler), func(c Copy) {
+		f = New("table", s, timing, slog.New(slog.DiscardHandler), func(c Copy) {
 			// Consumers call methods of the Follower within onChange.
 			f.OutageTimes()
 			f.Current()
@@ -218,3 +273,93 @@
 		assert.Equal(t, string(f.Current().Rows["b"].Value), "3")
 	})
 }
+
+// TestSilentStore guards against copies that miss changes after the store has answered
+// nothing for some time: a call for changes that began meanwhile, or was pending, was
+// waited for until it timed out 22 s later. From contactTime after the silence on, changes
+// have to arrive within drainTimeout.
+func TestSilentStore(t *testing.T) {
+	const contactTime, drainTimeout = 3 * time.Second, 2 * time.Second
+	for name, c := range map[string]struct {
+		// sinceChange is the time from a change to the silence.
+		sinceChange time.Duration
+		length      time.Duration
+		// pending is true if pending calls are not answered either.
+		pending bool
+		times   int
+	}{
+		"after a change":             {400 * time.Millisecond, 4500 * time.Millisecond, false, 1},
+		"in a call that waits":       {7 * time.Second, 4500 * time.Millisecond, true, 1},
+		"for a moment":               {7 * time.Second, 100 * time.Millisecond, true, 1},
+		"for a moment, after change": {890 * time.Millisecond, 50 * time.Millisecond, false, 1},
+		"several times":              {2 * time.Second, 1200 * time.Millisecond, true, 4},
+		"for long":                   {3 * time.Second, 30 * time.Second, true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTimedFollower(t, verifiedTiming, func(s *fakeStore, f *Follower) {
+				s.put("a", "1")
+				s.put("b", "1")
+				time.Sleep(5 * time.Second)
+				s.put("c", "1")
+				time.Sleep(c.sinceChange)
+				for range c.times {
+					s.setSilent(true, c.pending)
+					time.Sleep(c.length)
+					s.setSilent(false, false)
+					time.Sleep(contactTime)
+				}
+				for _, key := range []string{"a", "b"} {
+					s.remove(key)
+					time.Sleep(drainTimeout)
+					_, listed := f.Current().Rows[key]
+					assert.Assert(t, !listed, "%s after its removal row %s is still in the copy", drainTimeout, key)
+				}
+				time.Sleep(25 * time.Second)
+				lostAt, _ := f.OutageTimes()
+				assert.Assert(t, lostAt.IsZero())
+			})
+		})
+	}
+}
+
+// TestOutageIsKnownWithItsEnd guards against lists of endpoints that are applied without
+// the entries that lapsed in an outage: the consumer of a copy looked for an outage before
+// its end had been recorded.
+func TestOutageIsKnownWithItsEnd(t *testing.T) {
+	for name, timing := range map[string]Timing{"polled": testTiming, "verified": verifiedTiming} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put("a", "1")
+				var f *Follower
+				backAt := make(map[int]time.Time)
+				f = New("table", s, timing, slog.New(slog.DiscardHandler), func(c Copy) {
+					_, backAt[len(c.Rows)] = f.OutageTimes()
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var run sync.WaitGroup
+				run.Go(func() { f.Run(ctx) })
+				time.Sleep(time.Second)
+				s.setDown(true)
+				time.Sleep(4 * time.Second)
+				s.remove("a")
+				s.setDown(false)
+				time.Sleep(2 * time.Second)
+				cancel()
+				run.Wait()
+				assert.Assert(t, backAt[1].IsZero())
+				assert.Assert(t, !backAt[0].IsZero(), "the end of the outage was not known")
+			})
+		})
+	}
+}
+
+// TestVerifiedCallsOfCalmStore bounds the calls for a copy that does not change.
+func TestVerifiedCallsOfCalmStore(t *testing.T) {
+	withTimedFollower(t, verifiedTiming, func(s *fakeStore, _ *Follower) {
+		time.Sleep(5 * time.Second)
+		calls := s.called()
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, s.called()-calls <= 32, "%d calls in 30 s", s.called()-calls)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -139,13 +139,17 @@
 var (
 	// configTiming applies a new configuration at once. A long poll without changes
 	// costs the store little.
-	configTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 50 * time.Millisecond, Backoff: 300 * time.Millisecond}
+	configTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 50 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: verifyInterval}
 	// endpointTiming batches the changes of many endpoints into one call. MinInterval
 	// must stay well below the time within which a leaving endpoint must no longer
 	// get requests.
-	endpointTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 900 * time.Millisecond, Backoff: 300 * time.Millisecond}
+	endpointTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 900 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: verifyInterval}
 )
 
+// verifyInterval must stay below the time within which a configuration has to be in
+// force and a leaving endpoint must no longer get requests.
+const verifyInterval = 1500 * time.Millisecond
+
 // upstreamTimeouts are the timeouts of connections to endpoints. A live endpoint
 // accepts a new connection within some ms; an unreachable one never does.
 var upstreamTimeouts = upstream.Timeouts{Connect: 400 * time.Millisecond, Ack: time.Second}
