follow: copies are told apart by their content

Cause: whether a copy had another content was judged by the version of its latest change. A table that is read as a whole has no version of a removed row. If a row had been written just before the removal, the version stayed the same, and the gateway was not told of the new copy.

Now a copy has a digest over the keys and versions of its rows. The version of the latest change only orders copies, and is bounded by the version of the read where it is unknown. Processes with the same content agree on the higher bound.

Tests that failed before: TestLostHistoryOfRemovals (9 of 18 cases), TestSameContentOfPeer.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
@@ -36,9 +38,29 @@
 	Rows map[string]Row `json:"rows"`
 	// AsOf is the version of the store.
 	AsOf uint64 `json:"as_of"`
-	// Changed is the version of the latest change of the table. Unlike AsOf it is
-	// the same for all copies with the same content.
+	// Changed orders copies by their content: of two copies with different contents
+	// the newer one has the higher value. It is the version of the latest change of the
+	// table as far as that is known, and never above AsOf.
 	Changed uint64 `json:"changed"`
+	// digest identifies the content. Changed does not: the removal of a row leaves no
+	// version behind for those who have not received it as a change.
+	digest uint64
+}
+
+// contentDigest returns a hash of the rows, the same for all copies with the same
+// content. The version of a row stands for its value.
+func (c Copy) contentDigest() uint64 {
+	var version [8]byte
+	sum, hash := uint64(0), xxhash.New()
+	for key, row := range c.Rows {
+		hash.Reset()
+		binary.BigEndian.PutUint64(version[:], row.Version)
+		// Write never fails.
+		_, _ = hash.Write(version[:])
+		_, _ = hash.WriteString(key)
+		sum += hash.Sum64()
+	}
+	return sum
 }
 
 // newestVersion returns the version of the newest row.
@@ -160,8 +182,8 @@
 	return f.lostAt, f.backAt
 }
 
-// InstallIfNewer installs a peer's copy if it is newer than the current one, and
-// reports whether it did.
+// InstallIfNewer installs a peer's copy if its content is newer than the current one,
+// and reports whether it did.
 func (f *Follower) InstallIfNewer(c Copy) bool {
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
@@ -328,11 +350,11 @@
 		if !lost && !f.awaitDue(ctx) {
 			return
 		}
-		before, began := f.Current().Changed, time.Now()
+		before, began := f.Current().digest, time.Now()
 		err := f.verifyOnce(ctx, lost)
 		if err == nil {
 			backoff, lost = f.timing.Backoff, false
-			if f.Current().Changed != before {
+			if f.Current().digest != before {
 				f.interrupt()
 			}
 			continue
@@ -416,20 +438,30 @@
 }
 
 // install makes c the current copy if it is newer, and calls onChange if its content
-// differs. The caller must hold installMu.
+// differs. It reports whether the content differs. The caller must hold installMu.
 func (f *Follower) install(c Copy) bool {
 	cur := f.Current()
 	first := !f.hasCopy()
+	c.digest = c.contentDigest()
+	if !first && c.digest == cur.digest {
+		// Both versions of the latest change are bounds for the same content.
+		cur.AsOf, cur.Changed = max(cur.AsOf, c.AsOf), max(cur.Changed, c.Changed)
+		f.current.Store(&cur)
+		return false
+	}
 	if c.AsOf <= cur.AsOf && !first {
 		return false
 	}
+	if c.Changed <= cur.Changed {
+		// The table was read after changes that are no longer available. The latest one
+		// removed a row, and its version is unknown.
+		c.Changed = c.AsOf
+	}
 	f.current.Store(&c)
 	if first {
 		close(f.firstCopy)
 	}
-	if first || c.Changed != cur.Changed {
-		f.onChange(c)
-	}
+	f.onChange(c)
 	return true
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -363,3 +363,72 @@
 		assert.Assert(t, s.called()-calls <= 32, "%d calls in 30 s", s.called()-calls)
 	})
 }
+
+// TestLostHistoryOfRemovals guards against lists that keep removed rows: after the store
+// has discarded its history, the table is read again, and a removed row leaves no version
+// in what is read. The consumer was not told, as the newest row was the same as before.
+func TestLostHistoryOfRemovals(t *testing.T) {
+	type step func(s *fakeStore)
+	put := func(key string) step { return func(s *fakeStore) { s.put(key, "1") } }
+	remove := func(key string) step { return func(s *fakeStore) { s.remove(key) } }
+	wait := func(d time.Duration) step { return func(*fakeStore) { time.Sleep(d) } }
+	drop := func(s *fakeStore) { s.dropHistory() }
+	for name, steps := range map[string][]step{
+		"a removal after the newest row": {put("a"), put("b"), wait(5 * time.Second), put("c"), wait(300 * time.Millisecond), remove("a"), wait(300 * time.Millisecond), drop},
+		"a removal after a removal":      {put("a"), put("b"), put("c"), wait(5 * time.Second), remove("b"), wait(300 * time.Millisecond), remove("a"), drop},
+		"the last row":                   {put("a"), wait(5 * time.Second), put("a"), wait(100 * time.Millisecond), remove("a"), drop},
+		"the newest row":                 {put("a"), put("b"), wait(5 * time.Second), put("b"), wait(100 * time.Millisecond), remove("b"), drop},
+		"a row that was there before":    {put("a"), put("b"), wait(5 * time.Second), put("b"), wait(100 * time.Millisecond), remove("a"), put("a"), drop},
+		"a removal in an outage":         {put("a"), put("b"), wait(5 * time.Second), func(s *fakeStore) { s.setDown(true) }, wait(2 * time.Second), remove("a"), drop, func(s *fakeStore) { s.setDown(false) }},
+		"no change":                      {put("a"), wait(5 * time.Second), put("b"), wait(time.Second), drop, wait(time.Second), drop},
+		"an empty table":                 {wait(5 * time.Second), drop, wait(time.Second), put("a"), remove("a"), drop},
+		"one row in an empty table":      {wait(5 * time.Second), put("a"), wait(100 * time.Millisecond), put("b"), drop},
+	} {
+		for _, timing := range []Timing{testTiming, verifiedTiming} {
+			t.Run(name+", verified every "+timing.VerifyInterval.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newFakeStore()
+					var mu sync.Mutex
+					var told Copy
+					f := New("table", s, timing, slog.New(slog.DiscardHandler), func(c Copy) {
+						mu.Lock()
+						defer mu.Unlock()
+						assert.Check(t, told.Rows == nil || told.digest != c.digest, "told of the same content again")
+						assert.Check(t, told.Rows == nil || c.Changed > told.Changed, "newer content looks older to peers")
+						told = c
+					})
+					ctx, cancel := context.WithCancel(t.Context())
+					var run sync.WaitGroup
+					run.Go(func() { f.Run(ctx) })
+					for _, step := range steps {
+						step(s)
+					}
+					time.Sleep(2 * time.Second)
+					cancel()
+					run.Wait()
+					want, err := s.Read(t.Context(), "table")
+					assert.NilError(t, err)
+					assert.Equal(t, len(told.Rows), len(want.Rows))
+					for key, row := range want.Rows {
+						assert.DeepEqual(t, told.Rows[key], row)
+					}
+					assert.Assert(t, f.Current().Changed <= f.Current().AsOf)
+				})
+			})
+		}
+	}
+}
+
+// TestSameContentOfPeer: two processes whose copies have the same content, but other
+// bounds of its latest change, agree on one, so that neither copies the table again and
+// again.
+func TestSameContentOfPeer(t *testing.T) {
+	withFollower(t, func(s *fakeStore, f *Follower) {
+		s.put("a", "1")
+		time.Sleep(time.Second)
+		same := f.Current()
+		same.Changed, same.AsOf = same.AsOf+7, same.AsOf+7
+		assert.Assert(t, !f.InstallIfNewer(same), "the content is not newer")
+		assert.Equal(t, f.Current().Changed, same.Changed)
+	})
+}
