follow: one answer of the store verifies the copies of all entry nodes

Now a gateway that has verified its copy broadcasts the version and digest. A peer with the same content counts as verified too, one with another content verifies at once. The list of processes is verified every 5 s in the same way.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -146,14 +146,26 @@
 	lostAt, backAt time.Time
 	// responded is true once the store has responded.
 	responded bool
-	// verifiedAt is the time of the latest response.
-	verifiedAt time.Time
+	// answeredAt is the time of the latest response, verifiedAt that of the latest
+	// response to this process or a peer with the same content.
+	answeredAt, verifiedAt time.Time
 	// answered is closed and replaced with each response.
 	answered chan struct{}
 	// interruptPoll ends the pending call for changes, nil if there is none.
 	interruptPoll context.CancelFunc
 	// verifyNow holds a value while the copy has to be verified at once.
 	verifyNow chan struct{}
+	// onVerified is called after the store has verified the copy.
+	onVerified func(Confirmation)
+}
+
+// Confirmation says that a copy was complete when the store answered a process.
+type Confirmation struct {
+	Table string `cbor:"table"`
+	// AsOf is the version of the store in its answer.
+	AsOf uint64 `cbor:"as_of"`
+	// Digest identifies the content of the copy.
+	Digest uint64 `cbor:"digest"`
 }
 
 // New returns a Follower. onChange is called with each copy that has another content
@@ -162,6 +174,7 @@
 	f := &Follower{
 		firstCopy: make(chan struct{}), answered: make(chan struct{}), verifyNow: make(chan struct{}, 1),
 		table: table, source: source, timing: timing, log: log, onChange: onChange, lostAt: time.Now(),
+		onVerified: func(Confirmation) {},
 	}
 	f.current.Store(&Copy{})
 	return f
@@ -335,8 +348,32 @@
 	}
 }
 
-// verify makes sure that the store has answered within VerifyInterval, until the context
-// ends. It requests changes without waiting for one. If they are late, or the store does
+// OnVerified sets a function that is called each time the store has verified the copy, for
+// the peers. It must be called before Run.
+func (f *Follower) OnVerified(notify func(Confirmation)) { f.onVerified = notify }
+
+// Confirm uses the answer that the store has just given to a peer. If the peer has the
+// same content, this copy needs no answer of its own; otherwise it is verified at once.
+func (f *Follower) Confirm(c Confirmation) {
+	f.installMu.Lock()
+	defer f.installMu.Unlock()
+	cur := f.Current()
+	if !f.hasCopy() || c.AsOf < cur.AsOf {
+		return
+	}
+	if c.Digest != cur.digest {
+		f.requestVerification()
+		return
+	}
+	cur.AsOf = c.AsOf
+	f.current.Store(&cur)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.verifiedAt = time.Now()
+}
+
+// verify makes sure that the store has answered this process, or a peer with the same
+// content, within VerifyInterval, until the context ends. It requests changes without waiting for one. If they are late, or the store does
 // not answer, the pending call for changes is interrupted: it will probably get no
 // answer, even when the store is back.
 func (f *Follower) verify(ctx context.Context) {
@@ -354,9 +391,11 @@
 		err := f.verifyOnce(ctx, lost)
 		if err == nil {
 			backoff, lost = f.timing.Backoff, false
-			if f.Current().digest != before {
+			cur := f.Current()
+			if cur.digest != before {
 				f.interrupt()
 			}
+			f.onVerified(Confirmation{Table: f.table, AsOf: cur.AsOf, Digest: cur.digest})
 			continue
 		}
 		lost = true
@@ -470,7 +509,7 @@
 func (f *Follower) recordLoss(ctx context.Context, began time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ctx.Err() != nil || !f.lostAt.IsZero() || f.verifiedAt.After(began) {
+	if ctx.Err() != nil || !f.lostAt.IsZero() || f.answeredAt.After(began) {
 		return
 	}
 	f.lostAt = began
@@ -484,7 +523,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	f.verifiedAt = now
+	f.answeredAt, f.verifiedAt = now, now
 	close(f.answered)
 	f.answered = make(chan struct{})
 	if f.lostAt.IsZero() {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -432,3 +432,93 @@
 		assert.Equal(t, f.Current().Changed, same.Changed)
 	})
 }
+
+// partlySilent is a store that can fall silent for one process.
+type partlySilent struct {
+	*fakeStore
+	mu     sync.Mutex
+	silent bool
+}
+
+func (s *partlySilent) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *partlySilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+	}
+	return s.fakeStore.Changes(ctx, table, after, wait)
+}
+
+// TestPeersVerify: one call to the store verifies the copies of all processes, and a
+// process for which the store was silent receives a change within drainTimeout.
+func TestPeersVerify(t *testing.T) {
+	const processes, drainTimeout = 12, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		var followers []*Follower
+		var stores []*partlySilent
+		for range processes {
+			store := &partlySilent{fakeStore: s}
+			f := New("table", store, verifiedTiming, slog.New(slog.DiscardHandler), func(Copy) {})
+			f.OnVerified(func(c Confirmation) {
+				for _, peer := range followers {
+					if peer != f {
+						time.AfterFunc(3*time.Millisecond, func() { peer.Confirm(c) })
+					}
+				}
+			})
+			followers, stores = append(followers, f), append(stores, store)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var run sync.WaitGroup
+		for _, f := range followers {
+			run.Go(func() { f.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		calls := s.called()
+		time.Sleep(30 * time.Second)
+		calls = s.called() - calls
+		assert.Assert(t, calls < 2*30+2*processes, "%d calls in 30 s", calls)
+
+		s.put("b", "1")
+		time.Sleep(500 * time.Millisecond)
+		stores[3].setSilent(true)
+		time.Sleep(time.Second)
+		stores[3].setSilent(false)
+		s.remove("a")
+		time.Sleep(drainTimeout)
+		for i, f := range followers {
+			_, listed := f.Current().Rows["a"]
+			assert.Check(t, !listed, "process %d still lists the removed row", i)
+		}
+		cancel()
+		run.Wait()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestOutdatedConfirmation: the message of a peer that was frozen after the store's answer
+// verifies no copy that is newer, and one of other content never does.
+func TestOutdatedConfirmation(t *testing.T) {
+	withTimedFollower(t, verifiedTiming, func(s *fakeStore, f *Follower) {
+		s.put("a", "1")
+		time.Sleep(2 * time.Second)
+		old := f.Current()
+		s.put("b", "1")
+		time.Sleep(2 * time.Second)
+		s.setSilent(true, true)
+		f.Confirm(Confirmation{Table: "table", AsOf: old.AsOf, Digest: f.Current().digest})
+		f.Confirm(Confirmation{Table: "table", AsOf: f.Current().AsOf + 1, Digest: old.digest})
+		time.Sleep(verifiedTiming.VerifyInterval + verifyTimeout + time.Millisecond)
+		lostAt, _ := f.OutageTimes()
+		assert.Assert(t, !lostAt.IsZero())
+	})
+}
--- a/gossip/datagram.go
+++ b/gossip/datagram.go
@@ -59,6 +59,10 @@
 	// with the same audiences.
 	noteForReceiver = 3
 	noteForDomain   = 4
+	// confirmationForReceiver and confirmationForDomain mark datagrams whose remaining
+	// bytes are a follow.Confirmation, with the same audiences.
+	confirmationForReceiver = 5
+	confirmationForDomain   = 6
 )
 
 // encode returns the encoded datagram, with the audience as its first byte.
--- a/gossip/datagram_test.go
+++ b/gossip/datagram_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 )
 
 // TestEncodeDecode checks that a datagram survives encoding, and that damaged and
@@ -172,3 +174,41 @@
 		assert.Assert(t, from("b:1", 0), "not a broadcast")
 	}
 }
+
+// TestConfirmationReachesEveryEntry: the confirmation of a copy by one entry node reaches
+// the others in all failure domains.
+func TestConfirmationReachesEveryEntry(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	var nodes []Node
+	for i := range 7 {
+		nodes = append(nodes, Node{Name: string(rune('a' + i)), Kind: KindEntry, Address: freeAddress(t), FailureDomain: string(rune('x' + i%2))})
+	}
+	var followers []*follow.Follower
+	var gossipers []*Gossiper
+	for _, n := range nodes {
+		r := NewRegistry("nodes", nil, n, log, func([]Node) {})
+		r.nodes.Store(&nodes)
+		f := follow.New("t", nil, follow.Timing{}, log, func(follow.Copy) {})
+		assert.Assert(t, f.InstallIfNewer(follow.Copy{Rows: map[string]follow.Row{}, AsOf: 5}))
+		g := NewGossiper(n.Address, nil, r, []*follow.Follower{f}, log, func([]Load) {})
+		followers, gossipers = append(followers, f), append(gossipers, g)
+		running.Go(func() { g.Run(ctx) })
+	}
+	confirmed := func() bool {
+		for _, f := range followers[1:] {
+			if f.Current().AsOf != 9 {
+				return false
+			}
+		}
+		return true
+	}
+	// Not all of them may listen yet when the first ones are sent.
+	for !confirmed() {
+		gossipers[0].broadcastConfirmation(follow.Confirmation{Table: "t", AsOf: 9})
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
@@ -86,6 +87,7 @@
 	}
 	for _, f := range followers {
 		g.followers[f.Table()] = f
+		f.OnVerified(g.broadcastConfirmation)
 	}
 	g.mux.HandleFunc(copiesPath, g.serveCopies)
 	return g
@@ -295,6 +297,10 @@
 			g.receiveNote(buffer[:n])
 			continue
 		}
+		if n > 0 && (buffer[0] == confirmationForReceiver || buffer[0] == confirmationForDomain) {
+			g.receiveConfirmation(buffer[:n])
+			continue
+		}
 		d, audience, err := decodeDatagram(buffer[:n])
 		if err != nil {
 			g.log.Warn("cannot decode datagram", "error", err.Error())
@@ -321,6 +327,34 @@
 	}
 }
 
+// broadcastConfirmation tells all entry nodes that the store has verified a copy, so that
+// one call to the store serves all of them.
+func (g *Gossiper) broadcastConfirmation(c follow.Confirmation) {
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		g.log.Error("cannot encode a confirmation", "error", err.Error())
+		return
+	}
+	g.writeToDomains(append([]byte{confirmationForDomain}, data...))
+}
+
+// receiveConfirmation relays a confirmation if it is for the failure domain, and passes
+// it to the table's follower.
+func (g *Gossiper) receiveConfirmation(data []byte) {
+	if data[0] == confirmationForDomain {
+		data[0] = confirmationForReceiver
+		g.relay(data)
+	}
+	var c follow.Confirmation
+	if err := cbor.Unmarshal(data[1:], &c); err != nil {
+		g.log.Warn("cannot decode a confirmation", "error", err.Error())
+		return
+	}
+	if f := g.followers[c.Table]; f != nil {
+		f.Confirm(c)
+	}
+}
+
 // isNew reports whether no copy of a broadcast and no newer broadcast of the same
 // sender has arrived: an older report must not replace a newer one. It is always
 // true for datagrams that are not broadcast.
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -63,7 +63,7 @@
 // start together arrive in one read. Agents are many; what they need earlier they copy
 // from a peer.
 var (
-	entryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond}
+	entryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond, VerifyInterval: 5 * time.Second}
 	agentTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 4 * time.Second, Backoff: 500 * time.Millisecond}
 )
 
