forward: responses that are read in full share a bounded memory

Reported by other operators: an endpoint sends bytes without end, the node that called it runs out of memory, and the requests of all its callers end.

Shown: 90 requests to six endpoints with endless bodies took 417 MB of heap; the VM has 206 MB. Cause: each response may have 4 MB and is copied while it grows, and nothing bounded the sum.

Now responses are kept in chunks, and beyond 64 KB each they share 32 MB. One for which no memory is left fails like one that breaks off. Events have at most 128 KB instead of 1 MB; a stream that only repeats events ends after 256 KB.

TestEndlessResponses holds the bounds of store and engines.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -12,8 +12,8 @@
 const (
 	// readBufferBytes is enough for a few events.
 	readBufferBytes = 2 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event. Many readers may hold one that never ends.
+	maxEventBytes = 128 << 10
 )
 
 // TooLongError reports an event longer than the limit.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -14,10 +14,10 @@
 	"github.com/cyclamenpoint/cyclamenpoint/upstream"
 )
 
-// maxBufferedBytes limits responses that are read in full before any byte is
-// sent to the caller, so that a retry can replace an incomplete response. Longer
-// responses fail.
-const maxBufferedBytes = 4 << 20
+// maxSkippedEventBytes limits the events that a caller already has at the beginning of a
+// resumed stream. An endpoint that repeats events without end would otherwise occupy the
+// request until its deadline.
+const maxSkippedEventBytes = 256 << 10
 
 // relayAnswer sends an endpoint's response to the caller.
 func (r *requestState) relayAnswer(ctx context.Context, conn *upstream.Conn, resp *http.Response, answer Answer) result {
@@ -61,12 +61,12 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bufferedBody
 }
 
 func (b *bufferedAnswer) writeTo(sink Sink) error {
-	sink.Head(b.status, b.header, int64(len(b.body)))
-	if err := sink.Write(b.body); err != nil {
+	sink.Head(b.status, b.header, int64(b.body.size))
+	if err := b.body.writeTo(sink); err != nil {
 		return err
 	}
 	return sink.Flush()
@@ -75,22 +75,21 @@
 // relayBuffered reads a response that is not a stream in full and then sends it
 // to the caller.
 func (r *requestState) relayBuffered(ctx context.Context, conn *upstream.Conn, resp *http.Response, success bool) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	body, err := readBody(resp.Body, r.f.buffers)
 	if err != nil {
-		return failedResult(ctx, "answer broke off: "+err.Error())
-	}
-	if len(body) > maxBufferedBytes {
-		return failedResult(ctx, "answer is longer than "+strconv.Itoa(maxBufferedBytes)+" bytes")
+		return failedResult(ctx, "answer cannot be used: "+err.Error())
 	}
 	if r.headSent {
+		body.release()
 		return failedResult(ctx, "endpoint did not resume the stream: "+resp.Status)
 	}
 	buffered := &bufferedAnswer{status: resp.StatusCode, header: r.f.codec.AnswerHeaders(resp.Header), body: body}
 	if resp.StatusCode >= 500 && r.req.Match.Route.Repeat == deployment.RepeatAlways {
-		r.fallback = buffered
+		r.setFallback(buffered)
 		releaseConn(conn, resp)
 		return result{verdict: Failed, outcome: attempt.Unknown, sent: true, released: true, cause: "endpoint answered " + resp.Status}
 	}
+	defer body.release()
 	releaseConn(conn, resp)
 	res := result{done: true, verdict: Neutral, outcome: attempt.Done, sent: true, released: true}
 	// A write error means that the caller has disconnected.
@@ -105,7 +104,7 @@
 	if r.headSent {
 		metric.StreamsResumed.Inc()
 	}
-	events := eventstream.NewReader(resp.Body)
+	events, skipped := eventstream.NewReader(resp.Body), 0
 	for {
 		event, err := events.Next()
 		r.recordProgress()
@@ -117,6 +116,9 @@
 			return failedResult(ctx, "stream broke off: "+err.Error())
 		}
 		if !r.isNewEvent(event.ID) {
+			if skipped += len(event.Raw); skipped > maxSkippedEventBytes {
+				return failedResult(ctx, "endpoint repeats events")
+			}
 			continue
 		}
 		if err := r.relayEvent(resp, event, events.HasBuffered()); err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
@@ -219,12 +221,14 @@
 	picker  Picker
 	pool    *upstream.Pool
 	budgets *RetryBudgets
+	// buffers is the memory for long responses.
+	buffers *semaphore.Weighted
 	log     *slog.Logger
 }
 
 // New returns a Forwarder.
 func New(codec Codec, picker Picker, pool *upstream.Pool, budgets *RetryBudgets, log *slog.Logger) *Forwarder {
-	return &Forwarder{codec: codec, picker: picker, pool: pool, budgets: budgets, log: log}
+	return &Forwarder{codec: codec, picker: picker, pool: pool, budgets: budgets, buffers: semaphore.NewWeighted(sharedBufferBytes), log: log}
 }
 
 // Do forwards a request. It returns nil once the complete response is in sink, or
@@ -237,6 +241,7 @@
 	r := &requestState{f: f, req: req, sink: sink, lastEventID: req.LastEvent}
 	f.budgets.windowFor(req.Match.Service.Name).RecordFirst(time.Now())
 	p := r.do(ctx)
+	r.setFallback(nil)
 	r.logOutcome(ctx, p)
 	return p
 }
@@ -390,6 +395,14 @@
 	return p
 }
 
+// setFallback replaces the fallback response.
+func (r *requestState) setFallback(b *bufferedAnswer) {
+	if r.fallback != nil {
+		r.fallback.body.release()
+	}
+	r.fallback = b
+}
+
 // final sends the fallback response, if there is one and the caller has received
 // nothing yet, and returns nil. Otherwise it returns the problem to report to the
 // caller, which is p unless an attempt may have run: then a p with an outcome other
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -44,6 +44,8 @@
 	maxDatagramBytes = 16 << 10
 	// maxCopiesBytes bounds a peer's response with copies.
 	maxCopiesBytes = 8 << 20
+	// MaxHeadBytes bounds the head of a peer's response or request.
+	MaxHeadBytes = 16 << 10
 	// copiesPath is the path that serves copies of the store's tables to peers.
 	copiesPath = "/copies"
 	// headerTimeout bounds the reading of a request's headers.
@@ -81,7 +83,7 @@
 func NewGossiper(address string, seeds []string, registry *Registry, followers []*follow.Follower, log *slog.Logger, onLoads func([]Load)) *Gossiper {
 	g := &Gossiper{
 		address: address, seeds: seeds, registry: registry, followers: make(map[string]*follow.Follower), log: log, onLoads: onLoads,
-		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}},
 		mux:    http.NewServeMux(), behindSince: make(map[string]time.Time), newerPeer: make(map[string]string), lastSequence: make(map[string]uint64),
 		sequence: rand.Uint64() << startIDShift,
 	}
@@ -132,7 +134,7 @@
 	g.mu.Lock()
 	g.socket = socket
 	g.mu.Unlock()
-	server := &http.Server{Handler: g.mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: g.mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: MaxHeadBytes}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -43,9 +43,13 @@
 // storeTransport returns the transport for calls to the store.
 func storeTransport() http.RoundTripper {
 	dialer := net.Dialer{Timeout: storeConnectTimeout, KeepAliveConfig: storeKeepAlive}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdleTimeout, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
+	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: storeIdleTimeout, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
+// maxHeadBytes bounds the head of a response of the store or an engine, which may send
+// bytes without end.
+const maxHeadBytes = 16 << 10
+
 // initProcess sets the garbage collection target, loads the settings, opens the log
 // and starts to serve the metrics. The returned function closes the log.
 func initProcess(out io.Writer, process string) (*platform.Settings, *slog.Logger, func(), error) {
@@ -183,5 +187,5 @@
 // engineTransport returns the transport for calls to the engine on the same VM, and
 // to engines on other VMs whose agents do not answer.
 func engineTransport() http.RoundTripper {
-	return &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10}
+	return &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10, MaxResponseHeaderBytes: maxHeadBytes}
 }
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -131,7 +131,7 @@
 func NewAgent(s Settings, engine Engine, dialEngine func(address string) Engine, store Store, decode DecodeConfig, log *slog.Logger) *Agent {
 	a := &Agent{
 		settings: s, engine: engine, dialEngine: dialEngine, reconciler: NewReconciler(engine), log: log, decode: decode,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 5 * time.Second, DisableCompression: true, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10, MaxResponseHeaderBytes: gossip.MaxHeadBytes}},
 		loads:  make(map[string]timedLoad), leaderRank: noRank, leaderSeenAt: time.Now(),
 	}
 	a.lead = newLeader(a)
