gateway: a stopping node answers what it cannot finish

Reported by other operators: in a planned stop, requests that came late in the grace period were passed on and cut without an answer at its end.

Shown: a request still at its endpoint at the end of the grace period got no answer before the process ended, and one that came later on an open connection was read and dropped. Cause: deadlines may lie beyond the grace period, and http.Server.Shutdown closes a connection after reading a request.

Now requests in flight are cancelled 0.2 s before the end, which gives them a final answer, and later ones get 503 at once, which is true: they are not passed on.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -453,6 +453,6 @@
 		return
 	}
 	attrs = append(attrs, "outcome", string(p.Kind.Outcome), "problem", p.Kind.Name, "detail", p.Detail,
-		"retry_after_ms", p.RetryAfter.Milliseconds(), "caller_gone", ctx.Err() == context.Canceled, "begun", r.headSent)
+		"retry_after_ms", p.RetryAfter.Milliseconds(), "caller_gone", context.Cause(ctx) == context.Canceled, "begun", r.headSent)
 	r.f.log.Warn("request not served", attrs...)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -128,11 +129,17 @@
 	crashes           *crashes
 	limits            *limits
 
-	draining   atomic.Bool
-	inFlight   atomic.Int64
-	cancel     context.CancelFunc
-	background sync.WaitGroup
-	servers    []*http.Server
+	// draining is true once the node is stopping, closing once it takes no more requests.
+	draining, closing atomic.Bool
+	// lastCall ends when the remaining requests have to be answered.
+	lastCall    context.Context
+	endRequests context.CancelFunc
+	inFlight    atomic.Int64
+	cancel      context.CancelFunc
+	background  sync.WaitGroup
+	servers     []*http.Server
+	// listeners are those of servers.
+	listeners []net.Listener
 }
 
 // Timing of the followers of tables.
@@ -183,6 +190,7 @@
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	g.lastCall, g.endRequests = context.WithCancel(context.Background())
 	if err := g.listen(ctx); err != nil {
 		cancel()
 		return nil, err
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -35,6 +35,12 @@
 	deregistrationTime = 3 * time.Second
 	// stopMargin is the part of the grace period reserved for the end of the process.
 	stopMargin = 300 * time.Millisecond
+	// finalAnswerTime is the time before that in which requests that are still in flight
+	// get a final answer.
+	finalAnswerTime = 200 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a node that is stopping. Other nodes can
+	// serve the request at once.
+	stoppingRetryAfter = 50 * time.Millisecond
 )
 
 // listen opens the listeners for callers and for readiness checks.
@@ -53,8 +59,9 @@
 			return errors.WithStack(err)
 		}
 		g.servers = append(g.servers, l.server)
+		g.listeners = append(g.listeners, listener)
 		g.runInBackground(ctx, func(context.Context) {
-			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				g.log.Error("listener failed", "address", l.address, "error", err.Error())
 			}
 		})
@@ -78,9 +85,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, p := g.decodeRequest(w, r, arrived)
+	if p == nil && g.closing.Load() {
+		// A connection that was accepted before may bring a request at any later time.
+		p = &problem.Problem{Kind: problem.Draining, RequestID: req.ID, RetryAfter: stoppingRetryAfter}
+	}
 	if p == nil {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(g.lastCall, func() { cancel(&StoppingError{}) })()
 		sink := &responseSink{w: w, controller: http.NewResponseController(w)}
-		p = g.forwarder.Do(r.Context(), req, sink)
+		p = g.forwarder.Do(ctx, req, sink)
 		if p != nil && sink.headSent {
 			// Only an aborted connection shows the caller that the answer is
 			// incomplete.
@@ -94,6 +108,13 @@
 	}
 }
 
+// StoppingError is the cause for which a request is cancelled that is still in flight when
+// the node has to stop.
+type StoppingError struct{}
+
+// Error implements error.
+func (*StoppingError) Error() string { return "the node is stopping" }
+
 // writeProblem sends a problem as the answer.
 func (g *Gateway) writeProblem(w http.ResponseWriter, p *problem.Problem) {
 	h := w.Header()
@@ -231,9 +252,10 @@
 // Flush implements forward.Sink.
 func (s *responseSink) Flush() error { return s.controller.Flush() }
 
-// Stop shuts the node down. It reports the node as not ready, continues to serve until
-// the platform has reacted, waits for requests in flight, and returns before the grace
-// period is over.
+// Stop shuts the node down. It reports the node as not ready and continues to serve until
+// the platform has reacted. Then it accepts no further requests, waits for those in
+// flight, and returns before the grace period is over. Requests that are still in flight
+// shortly before that are cancelled, so that their callers get an answer.
 func (g *Gateway) Stop() {
 	start := time.Now()
 	g.draining.Store(true)
@@ -241,8 +263,12 @@
 	deregistered := time.NewTimer(min(deregistrationTime, g.settings.GracePeriod/2))
 	defer deregistered.Stop()
 	<-deregistered.C
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.settings.GracePeriod-stopMargin))
+	end := start.Add(g.settings.GracePeriod - stopMargin)
+	lastCall := time.AfterFunc(time.Until(end.Add(-finalAnswerTime)), g.endRequests)
+	defer lastCall.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	g.closeConnections(ctx)
 	for i := len(g.servers) - 1; i >= 0; i-- {
 		if err := g.servers[i].Shutdown(ctx); err != nil {
 			g.log.Warn("shutdown incomplete, aborting requests in flight", "in_flight", g.inFlight.Load(), "error", err.Error())
@@ -251,3 +277,33 @@
 	g.cancel()
 	g.log.Info("stopped", "after", time.Since(start).String())
 }
+
+// closeConnections accepts no more connections and closes those that are idle. Until no
+// request is in flight, it leaves the others to the handler, which refuses further
+// requests: http.Server.Shutdown would read these and close the connection without an
+// answer, so that a caller could not know whether they have run.
+func (g *Gateway) closeConnections(ctx context.Context) {
+	g.closing.Store(true)
+	for i, l := range g.listeners {
+		if err := l.Close(); err != nil {
+			g.log.Warn("cannot close a listener", "address", l.Addr().String(), "error", err.Error())
+		}
+		g.servers[i].SetKeepAlivesEnabled(false)
+	}
+	for g.inFlight.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, closePollInterval)
+	}
+}
+
+// closePollInterval is the time between two checks whether requests are in flight.
+const closePollInterval = 20 * time.Millisecond
+
+// sleep waits for some time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
