--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -516,3 +516,31 @@
 	<-stopped
 	assert.Assert(t, !gw.gateway.Ready())
 }
+
+// TestOddEntries guards against a node that ends, or stops following the list of
+// endpoints, because of one odd entry in it.
+func TestOddEntries(t *testing.T) {
+	for name, entry := range map[string]string{
+		"deeply nested":       strings.Repeat(`{"service":[`, 5000),
+		"number too large":    `{"service":"plain","address":"ADDRESS","zone":"d1","slots":8,"state":"ready","born":9223372036854775807}`,
+		"port out of range":   `{"service":"plain","address":"127.0.0.1:65536","zone":"d1","slots":9223372036854775807,"state":"ready","born":1}`,
+		"bytes of no meaning": "\xff\x00\xfe",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e1, e2 := endpoint.New("e1"), endpoint.New("e2")
+			gw := newTestGateway(t, e1)
+			address := strings.TrimPrefix(gw.servers["e1"].URL, "http://")
+			gw.store.Put("servers", "odd", []byte(strings.ReplaceAll(entry, "ADDRESS", address)))
+			// Changes of the list arrive within a second.
+			for range 60 {
+				assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+				time.Sleep(20 * time.Millisecond)
+			}
+			gw.addEndpoint(e2)
+			for len(e2.Runs()) == 0 {
+				assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -344,7 +344,7 @@
 func (a *Agent) groupClient(state State) (*httpGroupClient, error) {
 	c := &httpGroupClient{client: a.client, addresses: make([]string, state.Size), endpoints: make([]string, state.Size), dialEngine: a.dialEngine, log: a.log, selfRank: state.Rank, reconciler: a.reconciler}
 	for _, n := range a.registry.GroupAgents(state.Group) {
-		if n.Size == state.Size && n.Rank < state.Size {
+		if n.Size == state.Size && n.Rank >= 0 && n.Rank < state.Size {
 			c.addresses[n.Rank], c.endpoints[n.Rank] = n.Address, n.Endpoint
 		}
 	}
