gateway: endpoints that say they are about to stop get no more requests

Callers' requests would be cut at an endpoint that leaves while its entry still says ready, or while the store cannot be reached. An endpoint now says so in its answers, and nothing read it.

The statement is decoded into the answer, kept by incarnation, read by the picker like a draining entry, told to the other entry nodes and to one that has just started, and forgotten with the incarnation. Requests in flight go on.

Tests: TestEndpointStatesDeparture and TestAllEndpointsLeave, both failed with the picker's check taken out.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -27,6 +27,18 @@
 	WarmupRemaining time.Duration
 }
 
+// Incarnation identifies one start of an endpoint's process.
+type Incarnation struct {
+	ID string `cbor:"id"`
+	// Started is the start time in Unix milliseconds.
+	Started int64 `cbor:"started"`
+}
+
+// Incarnation returns the endpoint's incarnation.
+func (e Endpoint) Incarnation() Incarnation {
+	return Incarnation{ID: e.ID, Started: e.Started.UnixMilli()}
+}
+
 // Set is an immutable set of endpoints, indexed by service and by ID.
 type Set struct {
 	services map[string][]Endpoint
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -73,7 +73,7 @@
 	}
 	answer := r.f.codec.DecodeAnswer(resp.StatusCode, resp.Header)
 	if !answer.Misdirected {
-		r.watch.RateLimit(answer.RateLimit)
+		r.watch.Stated(answer)
 	}
 	if answer.NotRun {
 		r.watch.Answered(false)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -93,6 +93,8 @@
 	// RateLimit is the number of requests per second that the endpoint accepts from all
 	// entry nodes together; zero for no limit.
 	RateLimit float64
+	// Leaving is true if the endpoint states that it is about to stop.
+	Leaving bool
 }
 
 // Codec encodes and decodes the headers exchanged with endpoints.
@@ -134,9 +136,9 @@
 	Answered(ran bool)
 	// ConnectionLost marks that the connection failed before any answer.
 	ConnectionLost()
-	// RateLimit is called with each answer of the endpoint and the number of requests per
-	// second that it accepts from all entry nodes together; zero for no limit.
-	RateLimit(perSecond float64)
+	// Stated is called with each answer of the endpoint, before the caller gets it. What
+	// it states about the endpoint concerns later requests too.
+	Stated(a Answer)
 	// End marks the end of the attempt.
 	End()
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -46,11 +46,11 @@
 // unwatched is a forward.Watch that ignores the course of attempts.
 type unwatched struct{}
 
-func (unwatched) Sent()             {}
-func (unwatched) Answered(bool)     {}
-func (unwatched) ConnectionLost()   {}
-func (unwatched) RateLimit(float64) {}
-func (unwatched) End()              {}
+func (unwatched) Sent()                 {}
+func (unwatched) Answered(bool)         {}
+func (unwatched) ConnectionLost()       {}
+func (unwatched) Stated(forward.Answer) {}
+func (unwatched) End()                  {}
 
 func (p *orderedPicker) Record(_ forward.Target, v forward.Verdict) {
 	p.mu.Lock()
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -208,9 +208,12 @@
 	w.g.crashes.attempts.RecordCrash(site)
 }
 
-// RateLimit implements forward.Watch.
-func (w *watch) RateLimit(perSecond float64) {
-	w.g.limits.observe(w.target.Endpoint, w.req.ID, perSecond)
+// Stated implements forward.Watch.
+func (w *watch) Stated(a forward.Answer) {
+	w.g.limits.observe(w.target.Endpoint, w.req.ID, a.RateLimit)
+	if a.Leaving {
+		w.g.departures.observe(w.target.Endpoint, w.req.ID)
+	}
 }
 
 // End implements forward.Watch.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 	notes             *notes
 	crashes           *crashes
 	limits            *limits
+	departures        *departures
 
 	// draining is true once the node is stopping, closing once it takes no more requests.
 	draining, closing atomic.Bool
@@ -187,6 +188,7 @@
 	g.notes = newNotes(s.PeerAddress, g.gossip, g.registry, log)
 	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
 	g.limits = newLimits(g.notes, log)
+	g.departures = newDepartures(g.notes, log)
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -272,6 +274,7 @@
 	}
 	g.loads.SetEndpoints(byAddress)
 	g.endpoints.Store(set)
+	g.departures.retain(set)
 	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
 		listed, ok := set.Find(e.ID)
 		return ok && pacedEndpoint(listed) == e
--- a/gateway/notes.go
+++ b/gateway/notes.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
 	"github.com/cyclamenpoint/cyclamenpoint/pacing"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
@@ -31,10 +32,12 @@
 	Starting, Answer bool
 	Facts            quarantine.Facts
 	Limits           []pacing.Limit
+	// Leaving holds endpoints that have stated that they are about to stop.
+	Leaving []discovery.Incarnation
 }
 
-// notes exchanges what the entry nodes learn about endpoints from answers: crashes and
-// rate limits.
+// notes exchanges what the entry nodes learn about endpoints from answers: crashes, rate
+// limits and departures.
 type notes struct {
 	address  string
 	gossip   *gossip.Gossiper
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -119,7 +119,7 @@
 		estimate := p.g.loads.Estimate(e.ID, now)
 		reported[i] = picker.ReportedEndpoint{
 			Slots: e.Slots, Load: estimate.Load, Reported: estimate.Reported, Stale: estimate.Stale, Local: e.FailureDomain == p.g.settings.FailureDomain,
-			Unhealthy: estimate.Unhealthy, Excluded: e.Draining || estimate.GroupDown || estimate.Misdirected || estimate.BackingOff,
+			Unhealthy: estimate.Unhealthy, Excluded: e.Draining || p.g.departures.contains(e.Incarnation()) || estimate.GroupDown || estimate.Misdirected || estimate.BackingOff,
 			Slowdown: estimate.Slowdown, PassTime: estimate.PassTime, PassElapsed: estimate.PassElapsed,
 		}
 	}
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -78,6 +78,8 @@
 	id          string
 	selectFault func(id string, arrival int) Fault
 	rateLimit   string
+	leaving     bool
+	restFor     string
 	runs        []*Run
 	arrivals    int
 }
@@ -119,6 +121,27 @@
 	e.rateLimit = perSecond
 }
 
+// SetLeaving makes the endpoint state in its answers whether it is about to stop.
+func (e *Endpoint) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetRestFor sets the Retry-After of rejections in seconds; empty for none.
+func (e *Endpoint) SetRestFor(seconds string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restFor = seconds
+}
+
+// Arrivals returns the number of requests that have arrived, including those rejected.
+func (e *Endpoint) Arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
 // Runs returns the requests run so far, in order of arrival.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
@@ -142,6 +165,10 @@
 	if e.rateLimit != "" {
 		w.Header().Set("Server-Limit", e.rateLimit)
 	}
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	restFor := e.restFor
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
 	e.mu.Unlock()
@@ -152,6 +179,9 @@
 	}
 	switch fault {
 	case Reject:
+		if restFor != "" {
+			w.Header().Set("Retry-After", restFor)
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
