pacing: endpoints that refuse with a Retry-After are left alone for that time

An endpoint that turned a request away with 503 and a Retry-After got the next ones all the same: the time was only passed on to the caller as a hint.

Now the pacer, which holds the rate limits too, keeps such a rest by incarnation: no request until its end, then one, and further ones once that was not refused in the same way. If all endpoints rest, a caller is refused at once with a Retry-After of about the first end, spread out.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
+	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/pacing"
 )
 
@@ -43,6 +44,18 @@
 	l.notes.broadcast(note{Limits: changed})
 }
 
+// observeRest records whether an endpoint has refused a request and wants none from this
+// node for some time.
+func (l *limits) observeRest(e discovery.Endpoint, request string, a forward.Answer) {
+	if a.Rest == 0 {
+		l.pacer.EndRest(pacedEndpoint(e))
+		return
+	}
+	if l.pacer.Rest(pacedEndpoint(e), a.Rest, time.Now()) {
+		l.log.Info("endpoint wants no requests from this node for some time", "request", request, "endpoint", e.ID, "service", e.Service, "retry_after_ms", a.Rest.Milliseconds())
+	}
+}
+
 // handle records the limits that another node has sent, and sends them to a node that has
 // just started.
 func (l *limits) handle(m note) {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -68,3 +69,55 @@
 		assert.Equal(t, gw.call("POST", "/stream/1", "").status, 200)
 	}
 }
+
+// TestEndpointThatRests guards against an endpoint in need that gets requests although it
+// has refused one for some time: it is left alone, callers are served elsewhere, and after
+// the time a single request tries it.
+func TestEndpointThatRests(t *testing.T) {
+	resting, free := endpoint.New("resting"), endpoint.New("free")
+	resting.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
+	resting.SetRestFor("3")
+	gw := newTestGateway(t, resting, free)
+	for resting.Arrivals() == 0 {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+	}
+	refusedAt := time.Now()
+	for time.Since(refusedAt) < 1500*time.Millisecond {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, resting.Arrivals(), 1)
+	for resting.Arrivals() == 1 {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+	}
+	for range 50 {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+	}
+	assert.Equal(t, resting.Arrivals(), 2, "more than one request tried the endpoint")
+	resting.SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
+	for len(resting.Runs()) < 5 {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestAllEndpointsRest: while no endpoint wants requests, callers are refused at once, with a
+// Retry-After of about the end of the first rest.
+func TestAllEndpointsRest(t *testing.T) {
+	e := endpoint.New("e1")
+	e.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
+	e.SetRestFor("30")
+	gw := newTestGateway(t, e)
+	assert.Equal(t, gw.call("GET", "/safe/1", "").status, 503)
+	arrived := e.Arrivals()
+	for range 20 {
+		began := time.Now()
+		a := gw.call("GET", "/safe/1", "")
+		assert.Equal(t, a.status, 503)
+		assert.Assert(t, time.Since(began) < 500*time.Millisecond, "refused after %s", time.Since(began))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 25 && after < 40, "%g s", after)
+	}
+	assert.Equal(t, e.Arrivals(), arrived)
+}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -42,7 +42,7 @@
 	if choice.Index < 0 {
 		return forward.Target{}, &forward.NoEndpointError{
 			Reason:     fmt.Sprintf("no endpoint has room: listed %d, usable %d, full %d, too slow %d, tried %d, next slot of a limited one in %s", len(listed), choice.Usable, choice.Full, choice.TooSlow, len(tried), nextSlot),
-			RetryAfter: max(retryAfter(choice.Full > 0), nextSlot),
+			RetryAfter: max(retryAfter(choice.Full > 0), spread(nextSlot)),
 			MayRecover: choice.Full+choice.TooSlow == 0 && nextSlot <= maxSlotWait,
 		}
 	}
@@ -155,6 +155,12 @@
 	return time.Duration(float64(after) * (1 + retryJitter*(rand.Float64()-0.5)))
 }
 
+// spread returns a random time of at least d, so that callers who wait for the same moment
+// do not return all at once.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + retryJitter/2*rand.Float64()))
+}
+
 // connectionLimit returns this node's share of the connections that an endpoint accepts
 // in total, or zero for no limit.
 func (g *Gateway) connectionLimit(total int) int {
