upstream: a target that begins with two slashes is sent as it is

Cause: net/http takes an opaque target that begins with two slashes for a host and adds the scheme. Such a target is now written into the request line itself.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -172,7 +172,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	req := &http.Request{
-		Method: r.req.Method, URL: &url.URL{Scheme: "http", Host: target.Address, Opaque: r.req.URI},
+		Method: r.req.Method, URL: &url.URL{Scheme: "http", Host: target.Address, Opaque: r.req.URI}, RequestURI: r.req.URI,
 		Host: r.req.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(r.req.Body)),
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -29,7 +29,7 @@
 
 // testGateway is a gateway whose store and endpoints are stand-ins.
 type testGateway struct {
-	t           *testing.T
+	t           testing.TB
 	store       *rowstore.Store
 	address     string
 	peerAddress string
@@ -66,7 +66,7 @@
 	return gw
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -32,11 +33,18 @@
 // writers holds buffered writers for reuse.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
 
-// send writes a request to the connection.
+// send writes a request to the connection. Its target is RequestURI, byte for byte, if
+// that is set.
 func (c *Conn) send(req *http.Request) error {
 	w := writers.Get().(*bufio.Writer)
 	w.Reset(c.Conn)
-	err := req.Write(w)
+	var err error
+	if strings.HasPrefix(req.RequestURI, "//") {
+		// net/http takes this for a host and adds a scheme.
+		err = req.Write(&targetWriter{Writer: w, target: req.RequestURI})
+	} else {
+		err = req.Write(w)
+	}
 	if err == nil {
 		err = w.Flush()
 	}
@@ -45,6 +53,55 @@
 	return err
 }
 
+// targetWriter replaces the target in the first line of a request.
+type targetWriter struct {
+	*bufio.Writer
+	target string
+	// line holds the first line until it is complete; done is true after that.
+	line []byte
+	done bool
+}
+
+// Write implements io.Writer.
+func (t *targetWriter) Write(p []byte) (int, error) {
+	if t.done {
+		return t.Writer.Write(p)
+	}
+	t.line = append(t.line, p...)
+	end := bytes.IndexByte(t.line, '\n')
+	if end < 0 {
+		return len(p), nil
+	}
+	t.done = true
+	fields := bytes.SplitN(t.line[:end+1], []byte(" "), 3)
+	if len(fields) != 3 {
+		return 0, &RequestLineError{Line: string(t.line[:end])}
+	}
+	fields[1] = []byte(t.target)
+	if _, err := t.Writer.Write(bytes.Join(fields, []byte(" "))); err != nil {
+		return 0, err
+	}
+	if _, err := t.Writer.Write(t.line[end+1:]); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// WriteString implements io.StringWriter.
+func (t *targetWriter) WriteString(s string) (int, error) { return t.Write([]byte(s)) }
+
+// WriteByte implements io.ByteWriter.
+func (t *targetWriter) WriteByte(b byte) error {
+	_, err := t.Write([]byte{b})
+	return err
+}
+
+// RequestLineError reports a request whose first line cannot be written.
+type RequestLineError struct{ Line string }
+
+// Error implements error.
+func (e *RequestLineError) Error() string { return "invalid request line " + strconv.Quote(e.Line) }
+
 // SkipBody reads and discards the body of a response that is not for the caller. It
 // returns an error, after which the connection must be discarded, if the body is longer
 // than maxSkippedBytes or ends only with the connection.
