gossip: the latest row of a rank counts

Found by the review, not shown there: rows of processes are never removed, so a rank may have the row of its VM and that of the VM that was replaced. Which one got the leader's goals depended on the order of a Go map. Rows now come in the order in which they were written.

Test: TestLatestRowComesLast failed before.

--- a/gossip/datagram_test.go
+++ b/gossip/datagram_test.go
@@ -212,3 +212,18 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLatestRowComesLast guards against goals that go to the agent of a VM that was
+// replaced: its row stays in the table, and which row counted for a rank was random.
+func TestLatestRowComesLast(t *testing.T) {
+	r := NewRegistry("nodes", nil, Node{}, slog.New(slog.DiscardHandler), func([]Node) {})
+	rows := make(map[string]follow.Row)
+	for i, name := range []string{"d", "a", "e", "b", "c"} {
+		rows[name] = follow.Row{Key: name, Value: []byte(`{"name":"` + name + `","kind":"agent","group":"g","rank":3,"size":8}`), Version: uint64(i + 1)}
+	}
+	for range 20 {
+		r.update(follow.Copy{Rows: rows})
+		agents := r.GroupAgents("g")
+		assert.Equal(t, agents[len(agents)-1].Name, "c")
+	}
+}
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -7,9 +7,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,7 +142,8 @@
 	return n
 }
 
-// GroupAgents returns the registered agents of a rank group.
+// GroupAgents returns the registered agents of a rank group. Of several rows for one rank,
+// such as those of a VM and of its replacement, the latest comes last.
 func (r *Registry) GroupAgents(name string) []Node {
 	var agents []Node
 	for _, node := range r.Nodes() {
@@ -150,13 +154,14 @@
 	return agents
 }
 
-// update replaces the list of processes with the rows of a new copy.
+// update replaces the list of processes with the rows of a new copy. Rows that were
+// written later come later.
 func (r *Registry) update(c follow.Copy) {
 	nodes := make([]Node, 0, len(c.Rows))
-	for key, row := range c.Rows {
+	for _, row := range slices.SortedFunc(maps.Values(c.Rows), func(a, b follow.Row) int { return cmp.Compare(a.Version, b.Version) }) {
 		var n Node
 		if err := json.Unmarshal(row.Value, &n); err != nil {
-			r.log.Warn("cannot decode the row of a process", "row", key, "error", err.Error())
+			r.log.Warn("cannot decode the row of a process", "row", row.Key, "error", err.Error())
 			continue
 		}
 		nodes = append(nodes, n)
