soak: engines crash, endpoints state departures and rests

The soak compared only the versions of the ranks' maps, its group never formed again, and no endpoint stated that it leaves or wants no requests. The stand-in of the rank group now compares contents, refuses maps that are not complete and can crash a rank; endpoints leave and start again, or refuse with a Retry-After. A separate random source keeps the plans of earlier seeds.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -28,7 +28,9 @@
 // is safe for concurrent use.
 type proxy struct {
 	listener net.Listener
-	target   string
+	// address is that of the listener, also while it is closed.
+	address string
+	target  string
 
 	mu    sync.Mutex
 	fault linkFault
@@ -41,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, address: l.Addr().String(), target: target, conns: make(map[net.Conn]bool)}
 	go p.accept(l)
 	return p, nil
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,9 +51,11 @@
 	// endpointRNG selects the faults of endpoints that follow other faults. It leaves the
 	// sequence of the others as it is for a seed.
 	endpointRNG *rand.Rand
-	store       *rowstore.Store
-	storeProxy  *proxy
-	endpoints   []*endpoint.Endpoint
+	// statementRNG selects what endpoints state and crashes of engines, in the same way.
+	statementRNG *rand.Rand
+	store        *rowstore.Store
+	storeProxy   *proxy
+	endpoints    []*endpoint.Endpoint
 	// endpointProxies are the proxies in front of the endpoints, by index.
 	endpointProxies []*proxy
 	group           *rankengine.Group
@@ -64,6 +66,8 @@
 	// served is the number of requests with a complete successful answer.
 	served    atomic.Int64
 	requestID atomic.Int64
+	// started counts the endpoints that have started again.
+	started atomic.Int64
 }
 
 // TestSoak runs the programs under injected faults, with one random fault plan for
@@ -86,7 +90,7 @@
 // until all gateways are ready, callers are served and the rank group runs
 // passes, and then verifies the outcome.
 func runSeed(t *testing.T, seed uint64, gateway, agent string) {
-	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
+	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), statementRNG: rand.New(rand.NewPCG(seed, 9)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
 	logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
 	b.logDir = logDir
@@ -204,7 +208,15 @@
 	endpointProxy, err := newProxy("127.0.0.1:0", strings.TrimPrefix(server.URL, "http://"))
 	assert.NilError(b.t, err)
 	b.endpoints, b.endpointProxies = append(b.endpoints, e), append(b.endpointProxies, endpointProxy)
-	b.store.Put("servers", id, []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":"d1","slots":16,"state":"ready","born":1}`, endpointProxy.listener.Addr())))
+	b.listEndpoint(len(b.endpoints)-1, firstStart)
+}
+
+// firstStart is the start time of the endpoints' first incarnations.
+const firstStart = 1
+
+// listEndpoint writes the entry of an endpoint with its start time.
+func (b *testbed) listEndpoint(i int, started int64) {
+	b.store.Put("servers", b.endpoints[i].ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":"d1","slots":16,"state":"ready","born":%d}`, b.endpointProxies[i].address, started)))
 }
 
 // putConfig writes a version of the configuration to the store.
@@ -313,6 +325,10 @@
 			name, inject := b.randomEndpointFault()
 			faults = append(faults, fault{0, name, inject})
 		}
+		if b.statementRNG.IntN(4) == 0 {
+			name, inject := b.randomStatement()
+			faults = append(faults, fault{0, name, inject})
+		}
 	}
 	return faults
 }
@@ -332,6 +348,37 @@
 	}
 }
 
+// randomStatement returns a departure or a rest that an endpoint states, or the crash of an
+// engine, as randomFault does. An endpoint that has stated its departure ends and starts
+// again as another incarnation.
+func (b *testbed) randomStatement() (string, func()) {
+	i := b.statementRNG.IntN(len(b.endpointProxies))
+	duration := time.Duration(b.statementRNG.IntN(1500)) * time.Millisecond
+	switch b.statementRNG.IntN(3) {
+	case 0:
+		return fmt.Sprintf("e%d states its departure", i), func() {
+			b.endpoints[i].SetLeaving(true)
+			time.AfterFunc(duration, func() { b.restartEndpoint(i) })
+		}
+	case 1:
+		return fmt.Sprintf("e%d refuses requests for a second each", i), func() {
+			b.endpoints[i].SetRestFor("1")
+			b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
+			time.AfterFunc(duration, func() { b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault }) })
+		}
+	default:
+		rank := b.statementRNG.IntN(*rankCount)
+		return fmt.Sprintf("engine of rank %d crashes", rank), func() { b.group.Crash(rank, duration/2) }
+	}
+}
+
+// restartEndpoint ends an endpoint and starts it again at its address.
+func (b *testbed) restartEndpoint(i int) {
+	b.endpointProxies[i].crash(100 * time.Millisecond)
+	b.endpoints[i].SetLeaving(false)
+	b.listEndpoint(i, firstStart+b.started.Add(1))
+}
+
 // randomFault returns the name of a random fault and the function that injects
 // it. Faults that last for a time end by themselves.
 func (b *testbed) randomFault() (string, func()) {
@@ -399,6 +446,7 @@
 		b.endpointProxies[i].setFault(noLinkFault)
 		b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
 		b.endpoints[i].SetRateLimit("")
+		b.endpoints[i].SetRestFor("")
 	}
 	for _, p := range append(append([]*process{}, b.gateways...), b.agents...) {
 		p.signal(syscall.SIGCONT)
--- a/standin/rankengine/rankengine.go
+++ b/standin/rankengine/rankengine.go
@@ -28,10 +28,13 @@
 	shape    Shape
 	passTime time.Duration
 
-	mu         sync.Mutex
-	rng        *rand.Rand
-	faults     Faults
-	step       uint64
+	mu     sync.Mutex
+	rng    *rand.Rand
+	faults Faults
+	step   uint64
+	// epoch counts how often the group has formed; it runs no passes before readyAt.
+	epoch      uint64
+	readyAt    time.Time
 	ranks      []*rank
 	violations []string
 	switches   int
@@ -54,6 +57,9 @@
 	// those of the prepared map.
 	experts         [][]int
 	preparedExperts [][]int
+	// content and preparedContent are the whole maps in force and prepared, as the rank
+	// got them; empty for the first map.
+	content, preparedContent string
 	// counts are the tokens routed to each expert of each layer since the start.
 	counts []uint64
 }
@@ -68,6 +74,7 @@
 type order struct {
 	Operation    string    `json:"operation"`
 	FencingToken uint64    `json:"fencing_token"`
+	Epoch        uint64    `json:"epoch"`
 	Version      uint64    `json:"version"`
 	Step         uint64    `json:"step"`
 	Map          [][][]int `json:"map"`
@@ -76,19 +83,39 @@
 // New returns a group in epoch 1 whose passes take passTime. Its experts are
 // assigned to the ranks round-robin.
 func New(shape Shape, passTime time.Duration, seed uint64) *Group {
-	g := &Group{shape: shape, passTime: passTime, rng: rand.New(rand.NewPCG(seed, 3))}
+	g := &Group{shape: shape, passTime: passTime, rng: rand.New(rand.NewPCG(seed, 3)), epoch: 1}
 	for r := range shape.Ranks {
-		e := &rank{experts: make([][]int, shape.Layers), counts: make([]uint64, shape.Layers*shape.Experts)}
-		for layer := range e.experts {
-			for expert := r; expert < shape.Experts; expert += shape.Ranks {
-				e.experts[layer] = append(e.experts[layer], expert)
-			}
-		}
-		g.ranks = append(g.ranks, e)
+		g.ranks = append(g.ranks, &rank{experts: shape.firstExperts(r), counts: make([]uint64, shape.Layers*shape.Experts)})
 	}
 	return g
 }
 
+// firstExperts returns the experts of a rank in the first map, by layer.
+func (s Shape) firstExperts(r int) [][]int {
+	experts := make([][]int, s.Layers)
+	for layer := range experts {
+		for expert := r; expert < s.Experts; expert += s.Ranks {
+			experts[layer] = append(experts[layer], expert)
+		}
+	}
+	return experts
+}
+
+// Crash restarts the engine of a rank. The group forms again after a time, in a new epoch
+// and with the first map.
+func (g *Group) Crash(r int, formTime time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	g.readyAt = time.Now().Add(formTime)
+	for i, e := range g.ranks {
+		e.inForce, e.prepared, e.armed, e.holdAt, e.content, e.experts = 0, 0, nil, 0, "", g.shape.firstExperts(i)
+	}
+	e := g.ranks[r]
+	e.highest, e.fencingToken = 0, 0
+	clear(e.counts)
+}
+
 // SetFaults replaces the simulated faults.
 func (g *Group) SetFaults(f Faults) {
 	g.mu.Lock()
@@ -139,6 +166,9 @@
 func (g *Group) beginPass() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if time.Now().Before(g.readyAt) {
+		return
+	}
 	next := g.step + 1
 	for _, e := range g.ranks {
 		if e.holdAt != 0 && next >= e.holdAt {
@@ -149,7 +179,7 @@
 	inForceBefore := g.ranks[0].inForce
 	for _, e := range g.ranks {
 		if e.armed != nil && next >= e.armed.Step {
-			e.inForce, e.experts, e.armed, e.prepared = e.armed.Version, e.preparedExperts, nil, 0
+			e.inForce, e.experts, e.content, e.armed, e.prepared = e.armed.Version, e.preparedExperts, e.preparedContent, nil, 0
 		}
 		hot := int(next/hotPasses) % g.shape.Ranks
 		for i := range e.counts {
@@ -163,6 +193,9 @@
 		if e.inForce != g.ranks[0].inForce {
 			g.violations = append(g.violations, fmt.Sprintf("pass %d: rank %d has map %d, rank 0 map %d", next, r, e.inForce, g.ranks[0].inForce))
 		}
+		if e.content != g.ranks[0].content {
+			g.violations = append(g.violations, fmt.Sprintf("pass %d: rank %d has another content of map %d than rank 0", next, r, e.inForce))
+		}
 	}
 	if g.ranks[0].inForce != inForceBefore {
 		g.switches++
@@ -192,12 +225,20 @@
 	return n
 }
 
+// state returns the state of the group. The caller holds the lock.
+func (g *Group) state() string {
+	if time.Now().Before(g.readyAt) {
+		return "broken"
+	}
+	return "open"
+}
+
 func (g *Group) report(w http.ResponseWriter, r int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.ranks[r]
 	writeJSON(w, map[string]any{
-		"group": map[string]any{"name": "g", "epoch": 1, "rank": r, "state": "open"}, "size": g.shape.Ranks, "born": 1,
+		"group": map[string]any{"name": "g", "epoch": g.epoch, "rank": r, "state": g.state()}, "size": g.shape.Ranks, "born": 1,
 		"step": g.step, "map": e.inForce, "prepared": nullIfZero(e.prepared), "armed": e.armed, "held": nullIfZero(e.holdAt),
 		"queued": 0, "running": 8, "pace": 1.0,
 	})
@@ -210,10 +251,10 @@
 	defer g.mu.Unlock()
 	e := g.ranks[r]
 	if req.URL.Query().Has("lists") {
-		writeJSON(w, map[string]any{"epoch": 1, "map": map[string]any{"version": e.inForce, "experts": e.experts}})
+		writeJSON(w, map[string]any{"epoch": g.epoch, "map": map[string]any{"version": e.inForce, "experts": e.experts}})
 		return
 	}
-	writeJSON(w, map[string]any{"step": g.step, "epoch": 1, "counts": e.counts})
+	writeJSON(w, map[string]any{"step": g.step, "epoch": g.epoch, "counts": e.counts})
 }
 
 // maxOrderDelay is the longest delay of a delayed order.
@@ -256,12 +297,19 @@
 		return http.StatusPreconditionFailed
 	}
 	e.fencingToken = o.FencingToken
+	if o.Epoch != 0 && o.Epoch != g.epoch {
+		return http.StatusConflict
+	}
 	switch o.Operation {
 	case "prepare":
+		if !g.shape.covers(o.Map) {
+			g.violations = append(g.violations, fmt.Sprintf("rank %d was ordered to prepare map %d, which is not complete", r, o.Version))
+			return http.StatusBadRequest
+		}
 		if o.Version <= e.highest || e.armed != nil {
 			return http.StatusConflict
 		}
-		e.highest, e.prepared, e.preparedExperts = o.Version, o.Version, nil
+		e.highest, e.prepared, e.preparedExperts, e.preparedContent = o.Version, o.Version, nil, fmt.Sprint(o.Map)
 		for layer := range o.Map {
 			e.preparedExperts = append(e.preparedExperts, o.Map[layer][r])
 		}
@@ -291,3 +339,23 @@
 	}
 	return http.StatusAccepted
 }
+
+// covers reports whether a map has lists for all layers and ranks, and each expert on at
+// least one rank.
+func (s Shape) covers(m [][][]int) bool {
+	if len(m) != s.Layers {
+		return false
+	}
+	for _, ranks := range m {
+		held := make(map[int]bool)
+		for _, experts := range ranks {
+			for _, e := range experts {
+				held[e] = true
+			}
+		}
+		if len(ranks) != s.Ranks || len(held) != s.Experts {
+			return false
+		}
+	}
+	return true
+}
