--- a/follow/follow.go
+++ b/follow/follow.go
@@ -353,7 +353,8 @@
 func (f *Follower) OnVerified(notify func(Confirmation)) { f.onVerified = notify }
 
 // Confirm uses the answer that the store has just given to a peer. If the peer has the
-// same content, this copy needs no answer of its own; otherwise it is verified at once.
+// same content, this copy needs no answer of its own; otherwise it is verified at once. The
+// message of a peer that was frozen in between can delay the next verification once.
 func (f *Follower) Confirm(c Confirmation) {
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
@@ -373,9 +374,9 @@
 }
 
 // verify makes sure that the store has answered this process, or a peer with the same
-// content, within VerifyInterval, until the context ends. It requests changes without waiting for one. If they are late, or the store does
-// not answer, the pending call for changes is interrupted: it will probably get no
-// answer, even when the store is back.
+// content, within VerifyInterval, until the context ends. It requests changes without
+// waiting for one. If there are some, or the store does not answer, the pending call for
+// changes is interrupted: it will probably get no answer, even when the store is back.
 func (f *Follower) verify(ctx context.Context) {
 	select {
 	case <-f.firstCopy:
@@ -518,7 +519,7 @@
 }
 
 // recordAnswer records that the store has answered. It is called before the answer is
-// installed, so that the consumer of the copy knows that an outage has ended.
+// installed, so that the consumer of the copy sees the end of an outage.
 func (f *Follower) recordAnswer() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -366,7 +366,7 @@
 
 // TestLostHistoryOfRemovals guards against lists that keep removed rows: after the store
 // has discarded its history, the table is read again, and a removed row leaves no version
-// in what is read. The consumer was not told, as the newest row was the same as before.
+// in what is read. The consumer was not notified, as the newest row was the same as before.
 func TestLostHistoryOfRemovals(t *testing.T) {
 	type step func(s *fakeStore)
 	put := func(key string) step { return func(s *fakeStore) { s.put(key, "1") } }
@@ -393,7 +393,7 @@
 					f := New("table", s, timing, slog.New(slog.DiscardHandler), func(c Copy) {
 						mu.Lock()
 						defer mu.Unlock()
-						assert.Check(t, told.Rows == nil || told.digest != c.digest, "told of the same content again")
+						assert.Check(t, told.Rows == nil || told.digest != c.digest, "notified of the same content again")
 						assert.Check(t, told.Rows == nil || c.Changed > told.Changed, "newer content looks older to peers")
 						told = c
 					})
--- a/follow/history_test.go
+++ b/follow/history_test.go
@@ -216,7 +216,7 @@
 	}
 }
 
-// check compares the copy of which the process was told with the table.
+// check compares the copy that the process was notified of with the table.
 func (p *process) check(t *testing.T, table *fakeStore, changedAt map[string]time.Time) bool {
 	p.store.mu.Lock()
 	disturbed, since := p.store.disturbed(), p.store.disturbedAt
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -90,9 +90,9 @@
 	// RetryAfter is the delay that the endpoint suggests before a retry; zero for
 	// none.
 	RetryAfter time.Duration
-	// Rest is the time for which the endpoint wants no requests from this node; zero for
-	// none.
-	Rest time.Duration
+	// Cooldown is the time for which the endpoint asks for no requests from this node;
+	// zero for none.
+	Cooldown time.Duration
 	// RateLimit is the number of requests per second that the endpoint accepts from all
 	// entry nodes together; zero for no limit.
 	RateLimit float64
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -211,7 +211,7 @@
 // Stated implements forward.Watch.
 func (w *watch) Stated(a forward.Answer) {
 	w.g.limits.observe(w.target.Endpoint, w.req.ID, a.RateLimit)
-	w.g.limits.observeRest(w.target.Endpoint, w.req.ID, a)
+	w.g.limits.observeCooldown(w.target.Endpoint, w.req.ID, a)
 	if a.Leaving {
 		w.g.departures.observe(w.target.Endpoint, w.req.ID)
 	}
--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -54,7 +54,7 @@
 	return true
 }
 
-// observe records the statement of an endpoint and tells the other nodes.
+// observe records the statement of an endpoint and broadcasts it to the other nodes.
 func (d *departures) observe(e discovery.Endpoint, request string) {
 	if !d.add(e.Incarnation()) {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,13 +132,13 @@
 
 	// draining is true once the node is stopping, closing once it takes no more requests.
 	draining, closing atomic.Bool
-	// lastCall ends when the remaining requests have to be answered.
-	lastCall    context.Context
-	endRequests context.CancelFunc
-	inFlight    atomic.Int64
-	cancel      context.CancelFunc
-	background  sync.WaitGroup
-	servers     []*http.Server
+	// requests ends when the remaining requests of a stopping node have to be answered.
+	requests       context.Context
+	cancelRequests context.CancelFunc
+	inFlight       atomic.Int64
+	cancel         context.CancelFunc
+	background     sync.WaitGroup
+	servers        []*http.Server
 	// listeners are those of servers.
 	listeners []net.Listener
 }
@@ -192,7 +192,7 @@
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.lastCall, g.endRequests = context.WithCancel(context.Background())
+	g.requests, g.cancelRequests = context.WithCancel(context.Background())
 	if err := g.listen(ctx); err != nil {
 		cancel()
 		return nil, err
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -44,15 +44,15 @@
 	l.notes.broadcast(note{Limits: changed})
 }
 
-// observeRest records whether an endpoint has refused a request and wants none from this
-// node for some time.
-func (l *limits) observeRest(e discovery.Endpoint, request string, a forward.Answer) {
-	if a.Rest == 0 {
-		l.pacer.EndRest(pacedEndpoint(e))
+// observeCooldown records whether an endpoint has refused a request and asked for none from
+// this node for some time.
+func (l *limits) observeCooldown(e discovery.Endpoint, request string, a forward.Answer) {
+	if a.Cooldown == 0 {
+		l.pacer.EndCooldown(pacedEndpoint(e))
 		return
 	}
-	if l.pacer.Rest(pacedEndpoint(e), a.Rest, time.Now()) {
-		l.log.Info("endpoint wants no requests from this node for some time", "request", request, "endpoint", e.ID, "service", e.Service, "retry_after_ms", a.Rest.Milliseconds())
+	if l.pacer.StartCooldown(pacedEndpoint(e), a.Cooldown, time.Now()) {
+		l.log.Info("endpoint asks for a cooldown", "request", request, "endpoint", e.ID, "service", e.Service, "retry_after_ms", a.Cooldown.Milliseconds())
 	}
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -70,15 +70,15 @@
 	}
 }
 
-// TestEndpointThatRests guards against an endpoint in need that gets requests although it
+// TestEndpointCooldown guards against an endpoint in need that gets requests although it
 // has refused one for some time: it is left alone, callers are served elsewhere, and after
 // the time a single request tries it.
-func TestEndpointThatRests(t *testing.T) {
-	resting, free := endpoint.New("resting"), endpoint.New("free")
-	resting.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
-	resting.SetRestFor("3")
-	gw := newTestGateway(t, resting, free)
-	for resting.Arrivals() == 0 {
+func TestEndpointCooldown(t *testing.T) {
+	cooling, free := endpoint.New("cooling"), endpoint.New("free")
+	cooling.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
+	cooling.SetRetryAfter("3")
+	gw := newTestGateway(t, cooling, free)
+	for cooling.Arrivals() == 0 {
 		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
 	}
 	refusedAt := time.Now()
@@ -86,27 +86,27 @@
 		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
 		time.Sleep(5 * time.Millisecond)
 	}
-	assert.Equal(t, resting.Arrivals(), 1)
-	for resting.Arrivals() == 1 {
+	assert.Equal(t, cooling.Arrivals(), 1)
+	for cooling.Arrivals() == 1 {
 		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
 	}
 	for range 50 {
 		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
 	}
-	assert.Equal(t, resting.Arrivals(), 2, "more than one request tried the endpoint")
-	resting.SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
-	for len(resting.Runs()) < 5 {
+	assert.Equal(t, cooling.Arrivals(), 2, "more than one request tried the endpoint")
+	cooling.SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
+	for len(cooling.Runs()) < 5 {
 		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
-// TestAllEndpointsRest: while no endpoint wants requests, callers are refused at once, with a
-// Retry-After of about the end of the first rest.
-func TestAllEndpointsRest(t *testing.T) {
+// TestAllEndpointsCoolDown: while all endpoints have a cooldown, callers are refused at once, with
+// a Retry-After of about the end of the first one.
+func TestAllEndpointsCoolDown(t *testing.T) {
 	e := endpoint.New("e1")
 	e.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
-	e.SetRestFor("30")
+	e.SetRetryAfter("30")
 	gw := newTestGateway(t, e)
 	assert.Equal(t, gw.call("GET", "/safe/1", "").status, 503)
 	arrived := e.Arrivals()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -92,7 +92,7 @@
 	if p == nil {
 		ctx, cancel := context.WithCancelCause(r.Context())
 		defer cancel(nil)
-		defer context.AfterFunc(g.lastCall, func() { cancel(&StoppingError{}) })()
+		defer context.AfterFunc(g.requests, func() { cancel(&StoppingError{}) })()
 		sink := &responseSink{w: w, controller: http.NewResponseController(w)}
 		p = g.forwarder.Do(ctx, req, sink)
 		if p != nil && sink.headSent {
@@ -264,8 +264,8 @@
 	defer deregistered.Stop()
 	<-deregistered.C
 	end := start.Add(g.settings.GracePeriod - stopMargin)
-	lastCall := time.AfterFunc(time.Until(end.Add(-finalAnswerTime)), g.endRequests)
-	defer lastCall.Stop()
+	cancelTimer := time.AfterFunc(time.Until(end.Add(-finalAnswerTime)), g.cancelRequests)
+	defer cancelTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	g.closeConnections(ctx)
--- a/gateway/target_test.go
+++ b/gateway/target_test.go
@@ -76,7 +76,7 @@
 	}
 	f.Fuzz(func(t *testing.T, target string) {
 		if target == "" || target[0] != '/' || strings.ContainsAny(target, " \r\n\t\x00") {
-			t.Skip()
+			return
 		}
 		conn, err := net.Dial("tcp", address)
 		assert.NilError(t, err)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -329,8 +329,8 @@
 	}
 }
 
-// broadcastConfirmation tells all entry nodes that the store has verified a copy, so that
-// one call to the store serves all of them.
+// broadcastConfirmation sends a confirmation to all entry nodes, so that one call to the
+// store verifies the copies of all of them.
 func (g *Gossiper) broadcastConfirmation(c follow.Confirmation) {
 	data, err := cbor.Marshal(c)
 	if err != nil {
--- a/pacing/rest_test.go
+++ b/pacing/cooldown_test.go
@@ -8,25 +8,25 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestRest: an endpoint gets no request for the time that it states, then one, and more
+// TestCooldown: an endpoint gets no request for the time that it states, then one, and more
 // only after that one was not refused in the same way. Answers to earlier requests change
-// nothing, nor does another incarnation rest.
-func TestRest(t *testing.T) {
+// nothing, and another incarnation has no cooldown.
+func TestCooldown(t *testing.T) {
 	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	e, restarted := Endpoint{ID: "e", Incarnation: 1}, Endpoint{ID: "e", Incarnation: 2}
 	p := New(0, 1)
-	assert.Assert(t, p.Rest(e, 3*time.Second, at(0)))
-	assert.Assert(t, !p.Rest(e, time.Second, at(100*time.Millisecond)), "several at once do not shorten it")
-	p.EndRest(e)
+	assert.Assert(t, p.StartCooldown(e, 3*time.Second, at(0)))
+	assert.Assert(t, !p.StartCooldown(e, time.Second, at(100*time.Millisecond)), "several at once do not shorten it")
+	p.EndCooldown(e)
 	assert.Equal(t, p.Wait(e, at(time.Second)), 2*time.Second)
 	assert.Assert(t, !p.Take(e, at(2900*time.Millisecond)))
 	assert.Equal(t, p.Wait(restarted, at(time.Second)), time.Duration(0))
 	assert.Assert(t, p.Take(e, at(3*time.Second)))
 	assert.Assert(t, !p.Take(e, at(3*time.Second+time.Millisecond)), "one trial, not all that waited")
-	assert.Assert(t, !p.Rest(e, time.Minute, at(3100*time.Millisecond)))
+	assert.Assert(t, !p.StartCooldown(e, time.Minute, at(3100*time.Millisecond)))
 	assert.Equal(t, p.Wait(e, at(4*time.Second)), 59100*time.Millisecond)
 	assert.Assert(t, p.Take(e, at(64*time.Second)))
-	p.EndRest(e)
+	p.EndCooldown(e)
 	for range 10 {
 		assert.Assert(t, p.Take(e, at(65*time.Second)))
 	}
@@ -36,26 +36,26 @@
 func TestTrialWithoutAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p, e := New(0, 1), Endpoint{ID: "e"}
-	p.Rest(e, time.Second, now)
+	p.StartCooldown(e, time.Second, now)
 	now = now.Add(time.Second)
 	assert.Assert(t, p.Take(e, now))
 	assert.Assert(t, !p.Take(e, now.Add(trialTimeout-1)))
 	assert.Assert(t, p.Take(e, now.Add(trialTimeout)))
 }
 
-// TestRestsAreForgotten: an endpoint that is no longer listed leaves nothing behind.
-func TestRestsAreForgotten(t *testing.T) {
+// TestCooldownsAreForgotten: an endpoint that is no longer listed leaves nothing behind.
+func TestCooldownsAreForgotten(t *testing.T) {
 	p := New(0, 1)
-	p.Rest(Endpoint{ID: "a"}, time.Hour, time.Unix(1000, 0))
+	p.StartCooldown(Endpoint{ID: "a"}, time.Hour, time.Unix(1000, 0))
 	p.Retain(func(Endpoint) bool { return false })
-	assert.Equal(t, len(p.rests), 0)
+	assert.Equal(t, len(p.cooldowns), 0)
 }
 
-// TestRestsKeptUnderLoad plays the load of an endpoint that refuses each request with a
+// TestCooldownsUnderLoad plays the load of an endpoint that refuses each request with a
 // Retry-After for a minute: from half a second after the refusal until the end of the time
 // at most two requests arrive from a node, and callers lose little time before a sound
 // endpoint serves them again.
-func TestRestsKeptUnderLoad(t *testing.T) {
+func TestCooldownsUnderLoad(t *testing.T) {
 	const (
 		perSecond  = 200
 		answerTime = 4 * time.Millisecond
@@ -74,7 +74,7 @@
 		for now.Before(end) {
 			now = now.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond))
 			for len(pending) > 0 && !pending[0].After(now) {
-				p.Rest(e, stated, pending[0])
+				p.StartCooldown(e, stated, pending[0])
 				refusals = append(refusals, &refusal{at: pending[0]})
 				pending = pending[1:]
 			}
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -12,9 +12,9 @@
 // its end. A node that sends one request a minute would learn of them from its own
 // answers too late.
 //
-// An endpoint may also refuse a request and state how long it wants none from that entry
-// node. After that time the node sends one request, and further ones once that was not
-// refused in the same way. Each node keeps this for itself.
+// An endpoint may also refuse a request and ask for a cooldown, a time without requests from
+// that entry node. After it the node sends one request, and further ones once that was not
+// refused in the same way. Cooldowns are not exchanged between nodes.
 //
 // It answers the load of an endpoint that is in need and is served by up to some hundred
 // entry nodes. A request that finds no slot is for another endpoint, or waits.
@@ -71,12 +71,12 @@
 	// nodes is the number of entry nodes, and turn this node's position among them.
 	nodes, turn int64
 	states      map[Endpoint]*state
-	rests       map[Endpoint]*rest
+	cooldowns   map[Endpoint]*cooldown
 }
 
 // New returns a Pacer for the entry node at a position, counted from 0, among several.
 func New(turn, nodes int) *Pacer {
-	p := &Pacer{states: make(map[Endpoint]*state), rests: make(map[Endpoint]*rest)}
+	p := &Pacer{states: make(map[Endpoint]*state), cooldowns: make(map[Endpoint]*cooldown)}
 	p.SetNodes(turn, nodes)
 	return p
 }
@@ -156,7 +156,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait, _ := p.wait(e, now)
-	return max(wait, p.rests[e].left(now))
+	return max(wait, p.cooldowns[e].left(now))
 }
 
 // wait returns the time until this node may send a request, and the slot to use for it,
@@ -180,10 +180,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait, slot := p.wait(e, now)
-	if wait > 0 || p.rests[e].left(now) > 0 {
+	if wait > 0 || p.cooldowns[e].left(now) > 0 {
 		return false
 	}
-	p.rests[e].begin(now)
+	p.cooldowns[e].begin(now)
 	if slot >= 0 {
 		p.states[e].next = slot + 1
 	}
@@ -210,9 +210,9 @@
 			delete(p.states, e)
 		}
 	}
-	for e := range p.rests {
+	for e := range p.cooldowns {
 		if !keep(e) {
-			delete(p.rests, e)
+			delete(p.cooldowns, e)
 		}
 	}
 }
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -40,9 +40,9 @@
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
 	maxExtraSteps   = 12
-	// invalidMapRest is the time after an engine found a map invalid before the next
+	// invalidMapDelay is the time after an engine found a map invalid before the next
 	// one is planned.
-	invalidMapRest = time.Second
+	invalidMapDelay = time.Second
 	// minGain is the minimum part of the objective that a change has to remove.
 	// Smaller gains do not justify a switch, during which the group cannot adapt
 	// to other shifts of demand.
@@ -95,8 +95,8 @@
 	evenPass time.Duration
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
-	// restUntil is the time before which no map is planned, after an invalid one.
-	restUntil time.Time
+	// planAfter is the time before which no map is planned, after an invalid one.
+	planAfter time.Time
 	// reason is the reason of the latest decision. A decision to keep the map is
 	// logged only if its reason differs.
 	reason placement.Reason
@@ -265,7 +265,7 @@
 		l.holdCheckedAt = now
 		return l.endAbandonedHold(ctx, group)
 	}
-	if now.Before(l.restUntil) || now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
+	if now.Before(l.planAfter) || now.Sub(l.lastAttemptAt) < closedRestFactor*(l.gateClosed-usualClosedTime) {
 		return nil
 	}
 	if l.demand.shifting() || l.kept.holds(state.InForce, l.demand, now) {
@@ -344,7 +344,7 @@
 		if errors.As(err, new(*InvalidOrderError)) {
 			// The map was derived from a wrong one, which must be read again.
 			clear(l.maps)
-			l.restUntil = time.Now().Add(invalidMapRest)
+			l.planAfter = time.Now().Add(invalidMapDelay)
 		}
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -348,8 +348,8 @@
 	}
 }
 
-// randomStatement returns a departure or a rest that an endpoint states, or the crash of an
-// engine, as randomFault does. An endpoint that has stated its departure ends and starts
+// randomStatement returns a departure or a cooldown that an endpoint states, or the crash of
+// an engine, as randomFault does. An endpoint that has stated its departure ends and starts
 // again as another incarnation.
 func (b *testbed) randomStatement() (string, func()) {
 	i := b.statementRNG.IntN(len(b.endpointProxies))
@@ -362,7 +362,7 @@
 		}
 	case 1:
 		return fmt.Sprintf("e%d refuses requests for a second each", i), func() {
-			b.endpoints[i].SetRestFor("1")
+			b.endpoints[i].SetRetryAfter("1")
 			b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
 			time.AfterFunc(duration, func() { b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault }) })
 		}
@@ -446,7 +446,7 @@
 		b.endpointProxies[i].setFault(noLinkFault)
 		b.endpoints[i].SetFault(func(string, int) endpoint.Fault { return endpoint.NoFault })
 		b.endpoints[i].SetRateLimit("")
-		b.endpoints[i].SetRestFor("")
+		b.endpoints[i].SetRetryAfter("")
 	}
 	for _, p := range append(append([]*process{}, b.gateways...), b.agents...) {
 		p.signal(syscall.SIGCONT)
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -79,7 +79,7 @@
 	selectFault func(id string, arrival int) Fault
 	rateLimit   string
 	leaving     bool
-	restFor     string
+	retryAfter  string
 	runs        []*Run
 	arrivals    int
 }
@@ -128,11 +128,11 @@
 	e.leaving = leaving
 }
 
-// SetRestFor sets the Retry-After of rejections in seconds; empty for none.
-func (e *Endpoint) SetRestFor(seconds string) {
+// SetRetryAfter sets the Retry-After of rejections in seconds; empty for none.
+func (e *Endpoint) SetRetryAfter(seconds string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.restFor = seconds
+	e.retryAfter = seconds
 }
 
 // Arrivals returns the number of requests that have arrived, including those rejected.
@@ -168,7 +168,7 @@
 	if e.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
-	restFor := e.restFor
+	retryAfter := e.retryAfter
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
 	e.mu.Unlock()
@@ -179,8 +179,8 @@
 	}
 	switch fault {
 	case Reject:
-		if restFor != "" {
-			w.Header().Set("Retry-After", restFor)
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
 		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
