--- a/rankgroup/gate_test.go
+++ b/rankgroup/gate_test.go
@@ -293,16 +293,18 @@
 		withGap := draft.Map()
 		switchTo(0, withCopy, withGap)
 
-		read, err := g.assembleMap(g.engines[0].inForce)
+		inForce, _, err := g.engines[0].listed()
+		assert.NilError(t, err)
+		read, err := g.assembleMap(inForce)
 		assert.NilError(t, err)
 		draft = read.Edit()
 		draft.Set(0, 3, 1, 2)
 		switchTo(2, read, draft.Map())
+		cancel()
+		passes.Wait()
 		for rank, e := range g.engines {
 			assert.Assert(t, e.inForceMap.Holds(0, 3, 2) && e.inForceMap.Holds(0, 3, 7), "rank %d has another map", rank)
 		}
-		cancel()
-		passes.Wait()
 	})
 }
 
