gateway: no requests to endpoints of evacuated failure domains

Cause: an operator evacuates a failure domain with a row evacuate/DOMAIN in the table of the configuration.

Change: package evacuation holds the set of evacuated domains and the difference of two sets; platform decodes the rows; the gateway applies them with each new copy of the table, also if the configuration's version stays the same, and before the configuration, so that a starting gateway serves no request without them. Pick removes endpoints of evacuated domains from the candidates of first attempts, retries, resumed streams and trials of suspects. Requests in flight continue. If no other endpoint of the service is left, the request is refused at once with 503, Retry-After and the cause "evacuated". A name without listed endpoints is logged once and takes effect when an endpoint is listed there. endedAt gives the time at which a domain's last evacuation ended, for cold endpoints.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -169,6 +169,8 @@
 	// Suspect is true if the request may only run at one endpoint, because it may crash
 	// endpoints.
 	Suspect bool
+	// Evacuated is true if all endpoints are in evacuated failure domains.
+	Evacuated bool
 }
 
 // Error implements error.
@@ -393,6 +395,9 @@
 		if e.Suspect {
 			cause = "suspect"
 		}
+		if e.Evacuated {
+			cause = "evacuated"
+		}
 	case *QuarantinedError:
 		p.Kind, p.RetryAfter, cause = problem.CrashesEndpoints, e.Remaining, "quarantined"
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
+	"github.com/cyclamenpoint/cyclamenpoint/evacuation"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
@@ -70,6 +71,9 @@
 	// DecodeEndpoints decodes the list of endpoints, with an error for each invalid
 	// entry.
 	DecodeEndpoints(c follow.Copy) ([]discovery.Endpoint, []error)
+	// DecodeEvacuations decodes the evacuated failure domains in the table of the
+	// configuration, with an error for each invalid entry.
+	DecodeEvacuations(c follow.Copy) (domains []string, errs []error)
 }
 
 // Tables holds the names of the store's tables that a gateway follows.
@@ -129,6 +133,7 @@
 	crashes           *crashes
 	limits            *limits
 	departures        *departures
+	evacuations       *evacuations
 
 	// draining is true once the node is stopping, closing once it takes no more requests.
 	draining, closing atomic.Bool
@@ -189,7 +194,9 @@
 	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
 	g.limits = newLimits(g.notes, log)
 	g.departures = newDepartures(g.notes, log)
+	g.evacuations = newEvacuations(log)
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
+	metric.RegisterGauge("failure_domains_evacuated", func() float64 { return float64(g.evacuations.inForce()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.requests, g.cancelRequests = context.WithCancel(context.Background())
@@ -216,9 +223,12 @@
 	g.background.Go(func() { run(ctx) })
 }
 
-// setConfig applies a new configuration. It ignores an invalid one and one that is not
-// newer than the current one.
+// setConfig applies a new configuration and new evacuations, which are rows of the same
+// table. It ignores a configuration that is invalid or not newer than the current one. The
+// evacuations come first, so that the node serves no request without them after its start.
 func (g *Gateway) setConfig(c follow.Copy) {
+	domains, errs := g.protocol.DecodeEvacuations(c)
+	g.evacuations.set(evacuation.NewSet(domains), errs, c.AsOf)
 	cfg, ok, err := g.protocol.DecodeConfig(c)
 	if err != nil {
 		g.log.Error("invalid configuration, keeping the previous one", "error", err.Error(), "as_of", c.AsOf)
@@ -273,6 +283,7 @@
 		}
 	}
 	g.loads.SetEndpoints(byAddress)
+	g.evacuations.setListed(set)
 	g.endpoints.Store(set)
 	g.departures.retain(set)
 	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,8 @@
 	servers     map[string]*httptest.Server
 	// node is the gateway's name.
 	node string
+	// log receives the log lines of the gateway; nil discards them.
+	log io.Writer
 }
 
 // routeConfig is a route of the configuration under test.
@@ -95,13 +97,17 @@
 
 // startAt starts a gateway at free addresses with the store at a URL.
 func (gw *testGateway) startAt(storeURL string, seeds []string) (*gateway.Gateway, error) {
+	log := slog.New(slog.DiscardHandler)
+	if gw.log != nil {
+		log = slog.New(slog.NewTextHandler(gw.log, nil))
+	}
 	gw.address, gw.peerAddress = freeAddress(gw.t), freeAddress(gw.t)
 	return gateway.Start(gateway.Settings{
 		Node: gw.node, FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
-	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
+	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), log)
 }
 
 func (gw *testGateway) configure(version int, routes []routeConfig) {
@@ -116,18 +122,25 @@
 }
 
 // addEndpoint starts an endpoint and lists it in the store.
-func (gw *testGateway) addEndpoint(e *endpoint.Endpoint) {
+func (gw *testGateway) addEndpoint(e *endpoint.Endpoint) { gw.addEndpointIn("d1", e) }
+
+// addEndpointIn starts an endpoint and lists it in a failure domain.
+func (gw *testGateway) addEndpointIn(domain string, e *endpoint.Endpoint) {
 	server := httptest.NewServer(e)
 	gw.t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
 	gw.servers[e.ID()] = server
-	gw.listEndpoint(e.ID(), strings.TrimPrefix(server.URL, "http://"), "ready")
+	gw.listEndpointIn(domain, e.ID(), strings.TrimPrefix(server.URL, "http://"), "ready")
 }
 
 func (gw *testGateway) listEndpoint(id, address, state string) {
-	gw.store.Put("servers", id, []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":"d1","slots":8,"state":%q,"born":1}`, address, state)))
+	gw.listEndpointIn("d1", id, address, state)
+}
+
+func (gw *testGateway) listEndpointIn(domain, id, address, state string) {
+	gw.store.Put("servers", id, []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":8,"state":%q,"born":1}`, address, domain, state)))
 }
 
 func (gw *testGateway) waitReady() {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -20,7 +20,10 @@
 func (p *endpointPicker) Pick(req *forward.Request, tried []string) (forward.Target, error) {
 	g, now := p.g, time.Now()
 	service := req.Match.Service
-	listed := g.endpoints.Load().Service(service.Name)
+	listed, err := g.evacuations.remaining(g.endpoints.Load().Service(service.Name))
+	if err != nil {
+		return forward.Target{}, err
+	}
 	reported := p.reportedEndpoints(listed, now)
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
