gateway: streams wait for the first load reports after a start

Cause: after a power failure gateways start while all rank groups are still forming, and know of no group that is down.

Result: TestStartWhileGroupForms failed before (the engine had got the request). Tests of gateway and soak pass with the race detector.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
 	"github.com/cyclamenpoint/cyclamenpoint/syncrand"
 )
 
@@ -22,6 +23,9 @@
 	service := req.Match.Service
 	listed := g.endpoints.Load().Service(service.Name)
 	reported := p.reportedEndpoints(listed, now)
+	if p.g.awaitsReports(service, now) {
+		excludeUnreported(reported)
+	}
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
@@ -52,6 +56,28 @@
 	}, nil
 }
 
+// firstReportsPeriod is the time after a gateway's start within which the first load
+// reports arrive: agents that start at the same moment need up to a second until one of
+// them leads.
+const firstReportsPeriod = 1500 * time.Millisecond
+
+// awaitsReports reports whether this node has started so recently that an endpoint without
+// a load report may belong to a rank group that is still forming. After a power failure all
+// groups form for some hundred ms and reject requests: each costs a retry of a budget that
+// is nearly empty then, and a refused caller returns only once.
+func (g *Gateway) awaitsReports(service *route.Service, now time.Time) bool {
+	return service.Engine != nil && service.Engine.Experts != nil && now.Sub(g.startedAt) < firstReportsPeriod
+}
+
+// excludeUnreported excludes the endpoints of which no load report has arrived yet.
+func excludeUnreported(endpoints []picker.ReportedEndpoint) {
+	for i := range endpoints {
+		if !endpoints[i].Reported && !endpoints[i].Stale {
+			endpoints[i].Excluded = true
+		}
+	}
+}
+
 // maxSlotWait is the longest time until the next slot of an endpoint that limits its
 // requests for which a request waits; otherwise it is refused at once.
 const maxSlotWait = time.Second
