gateway: no endpoint is used before half of them are reported

Cause: the first load report after a power failure names a few endpoints.

Change: a gateway that has just started waits until half of a service's endpoints are reported.

Result: TestStartWhileGroupForms covers the partial report and fails without the change.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -26,8 +26,8 @@
 		return forward.Target{}, err
 	}
 	reported := p.reportedEndpoints(listed, now)
-	if p.g.awaitsReports(service, now) {
-		excludeUnreported(reported)
+	if p.g.awaitsReports(service, reported, now) {
+		excludeAll(reported)
 	}
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
@@ -64,20 +64,28 @@
 // them leads.
 const firstReportsPeriod = 1500 * time.Millisecond
 
-// awaitsReports reports whether this node has started so recently that an endpoint without
-// a load report may belong to a rank group that is still forming. After a power failure all
-// groups form for some hundred ms and reject requests: each costs a retry of a budget that
-// is nearly empty then, and a refused caller returns only once.
-func (g *Gateway) awaitsReports(service *route.Service, now time.Time) bool {
-	return service.Engine != nil && service.Engine.Experts != nil && now.Sub(g.startedAt) < firstReportsPeriod
+// awaitsReports reports whether this node has started so recently that most endpoints of a
+// service have not been reported yet, so their rank groups may still be forming. After a
+// power failure all groups form for some hundred ms and reject requests: each costs a retry
+// of a budget that is nearly empty then, and a refused caller returns only once. The first
+// reports name a few endpoints, which must not get all requests that wait.
+func (g *Gateway) awaitsReports(service *route.Service, endpoints []picker.ReportedEndpoint, now time.Time) bool {
+	if service.Engine == nil || service.Engine.Experts == nil || now.Sub(g.startedAt) >= firstReportsPeriod {
+		return false
+	}
+	reported := 0
+	for i := range endpoints {
+		if endpoints[i].Reported {
+			reported++
+		}
+	}
+	return 2*reported < len(endpoints)
 }
 
-// excludeUnreported excludes the endpoints of which no load report has arrived yet.
-func excludeUnreported(endpoints []picker.ReportedEndpoint) {
+// excludeAll excludes all endpoints.
+func excludeAll(endpoints []picker.ReportedEndpoint) {
 	for i := range endpoints {
-		if !endpoints[i].Reported && !endpoints[i].Stale {
-			endpoints[i].Excluded = true
-		}
+		endpoints[i].Excluded = true
 	}
 }
 
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -24,37 +24,47 @@
 // load report of the group instead, which comes once it is ready, and reaches the engine
 // once.
 func TestStartWhileGroupForms(t *testing.T) {
-	e := endpoint.New("e1")
+	first, second, third := endpoint.New("e1"), endpoint.New("e2"), endpoint.New("e3")
+	arrivals := func() int { return first.Arrivals() + second.Arrivals() + third.Arrivals() }
 	var formed atomic.Bool
-	e.SetFault(func(string, int) endpoint.Fault {
+	fault := func(string, int) endpoint.Fault {
 		if formed.Load() {
 			return endpoint.NoFault
 		}
 		return endpoint.Reject
-	})
+	}
 	gw := &testGateway{t: t, store: rowstore.New(), grace: 400 * time.Millisecond, node: "n1"}
 	gw.servers = make(map[string]*httptest.Server)
 	gw.configureEngines()
-	gw.addEndpoint(e)
+	for _, e := range []*endpoint.Endpoint{first, second, third} {
+		e.SetFault(fault)
+		gw.addEndpoint(e)
+	}
 	gw.start(gw.store)
 	gw.waitReady()
 	got := make(chan answer, 1)
 	go func() { got <- gw.call("POST", "/stream/1", "", "X-Deadline-Ms", "8000") }()
 
 	agent := newReporter(t)
-	// The first report says that the group is not ready; only the second one lets the
-	// request pass.
-	report := gossip.Load{Endpoint: strings.TrimPrefix(gw.servers[e.ID()].URL, "http://"), Group: "g"}
-	agent.Send(gw.peerAddress, gossip.Datagram{Loads: []gossip.Load{report}})
-	time.Sleep(100 * time.Millisecond)
-	assert.Equal(t, e.Arrivals(), 0)
+	report := func(ready bool, endpoints ...*endpoint.Endpoint) {
+		var loads []gossip.Load
+		for _, e := range endpoints {
+			loads = append(loads, gossip.Load{Endpoint: strings.TrimPrefix(gw.servers[e.ID()].URL, "http://"), Group: "g", GroupReady: ready})
+		}
+		agent.Send(gw.peerAddress, gossip.Datagram{Loads: loads})
+		time.Sleep(100 * time.Millisecond)
+	}
+	// All requests that wait would go to the endpoint that is reported first.
+	report(true, first)
+	assert.Equal(t, arrivals(), 0)
+	report(false, first, second, third)
+	assert.Equal(t, arrivals(), 0)
 	formed.Store(true)
-	report.GroupReady = true
-	agent.Send(gw.peerAddress, gossip.Datagram{Loads: []gossip.Load{report}})
+	report(true, first, second, third)
 	a := <-got
 	assert.NilError(t, a.err)
 	assert.Equal(t, a.status, 200)
-	assert.Equal(t, e.Arrivals(), 1)
+	assert.Equal(t, arrivals(), 1)
 }
 
 // TestStartWithoutReports guards against a gateway that serves nobody as long as no agent
@@ -102,5 +112,7 @@
 		cancel()
 		<-done
 	})
+	// Send drops datagrams until Run has opened the socket.
+	time.Sleep(100 * time.Millisecond)
 	return agent
 }
