rankgroup: a leader's own stop is not recorded as the closed time of its gate

Cause: a leader whose VM froze for 4 s in the middle of a switch measured 4 s as the closed time of the gate, and waited four times as long before the next switch.

Change: a fenced switch records no closed time, and no more than a second is recorded.

--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -39,7 +39,10 @@
 	// multiplied. A gate is normally closed for a shorter time, and most of that
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
-	maxExtraSteps   = 12
+	// maxClosedTime bounds the recorded closed time, and so the time between two switches.
+	// The agent beside the gate ends an abandoned hold sooner.
+	maxClosedTime = time.Second
+	maxExtraSteps = 12
 	// invalidMapDelay is the time after an engine found a map invalid before the next
 	// one is planned.
 	invalidMapDelay = time.Second
@@ -328,7 +331,7 @@
 	if err == nil {
 		closedFor, err = switchPrepared(ctx, group, plan, states)
 	}
-	l.gateClosed, l.lastAttemptAt = max(closedFor, l.gateClosed*closedKeepPercent/100), time.Now()
+	l.gateClosed, l.lastAttemptAt = max(recordedClosedTime(closedFor, err), l.gateClosed*closedKeepPercent/100), time.Now()
 	metric.MapChangeTime.UpdateDuration(began)
 	metric.GateClosedTime.Update(closedFor.Seconds())
 	if err != nil {
@@ -359,6 +362,16 @@
 	return nil
 }
 
+// recordedClosedTime returns the closed time to record for a switch. A leader that was
+// stopped during its hold measures its own stop: others have fenced it and ended the hold
+// long before. A recorded stop of 4 s would keep the group on an unsuitable map for 15 s.
+func recordedClosedTime(closed time.Duration, err error) time.Duration {
+	if errors.As(err, new(*FencedError)) {
+		return 0
+	}
+	return min(closed, maxClosedTime)
+}
+
 const (
 	// outdatedPeriod is the time between two checks whether the demand has shifted
 	// since a plan was made.
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -63,6 +63,19 @@
 	assert.Equal(t, l.expectedSwitchTime(now), maxSwitchTime)
 }
 
+// TestRecordedClosedTime guards against a group that keeps an unsuitable map for 15 s after
+// its leader's VM was frozen for 4 s in the middle of a switch: the leader took the freeze for
+// the time for which its gate was closed, and waited four times as long before the next
+// switch. The agent beside the gate had ended the hold after 0.2 s.
+func TestRecordedClosedTime(t *testing.T) {
+	const freeze = 4 * time.Second
+	fenced := errors.WithMessage(&FencedError{Token: 1, Newest: 2}, "hold")
+	assert.Equal(t, recordedClosedTime(freeze, fenced), time.Duration(0))
+	assert.Equal(t, recordedClosedTime(300*time.Millisecond, nil), 300*time.Millisecond)
+	rest := closedRestFactor * (recordedClosedTime(freeze, errors.New("no answer")) - usualClosedTime)
+	assert.Assert(t, rest < freeze, "%s", rest)
+}
+
 // TestReportsExpire: the reports of the ranks count while they are recent.
 func TestReportsExpire(t *testing.T) {
 	a := &Agent{loads: make(map[string]timedLoad)}
