gateway: only reported endpoints are used after a start

Change: within 1.5 s of its start a gateway uses endpoints of rank groups only once they are reported.

Result: TestStartWhileGroupForms covers it.

--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -26,8 +26,8 @@
 		return forward.Target{}, err
 	}
 	reported := p.reportedEndpoints(listed, now)
-	if p.g.awaitsReports(service, reported, now) {
-		excludeAll(reported)
+	if p.g.awaitsReports(service, now) {
+		excludeUnreported(reported)
 	}
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
@@ -64,28 +64,28 @@
 // them leads.
 const firstReportsPeriod = 1500 * time.Millisecond
 
-// awaitsReports reports whether this node has started so recently that most endpoints of a
-// service have not been reported yet, so their rank groups may still be forming. After a
-// power failure all groups form for some hundred ms and reject requests: each costs a retry
-// of a budget that is nearly empty then, and a refused caller returns only once. The first
-// reports name a few endpoints, which must not get all requests that wait.
-func (g *Gateway) awaitsReports(service *route.Service, endpoints []picker.ReportedEndpoint, now time.Time) bool {
-	if service.Engine == nil || service.Engine.Experts == nil || now.Sub(g.startedAt) >= firstReportsPeriod {
-		return false
-	}
+// awaitsReports reports whether this node has started so recently that the rank group of an
+// endpoint without a load report may still be forming. After a power failure all groups form
+// for some hundred ms and reject requests: each costs a retry of a budget that is nearly
+// empty then, and a refused caller returns only once.
+func (g *Gateway) awaitsReports(service *route.Service, now time.Time) bool {
+	return service.Engine != nil && service.Engine.Experts != nil && now.Sub(g.startedAt) < firstReportsPeriod
+}
+
+// excludeUnreported excludes the endpoints without a load report, and all if that are more
+// than half: the first reports name a few endpoints, which must not get all requests that
+// wait.
+func excludeUnreported(endpoints []picker.ReportedEndpoint) {
 	reported := 0
 	for i := range endpoints {
 		if endpoints[i].Reported {
 			reported++
 		}
 	}
-	return 2*reported < len(endpoints)
-}
-
-// excludeAll excludes all endpoints.
-func excludeAll(endpoints []picker.ReportedEndpoint) {
 	for i := range endpoints {
-		endpoints[i].Excluded = true
+		if !endpoints[i].Reported || 2*reported < len(endpoints) {
+			endpoints[i].Excluded = true
+		}
 	}
 }
 
--- a/gateway/start_test.go
+++ b/gateway/start_test.go
@@ -57,6 +57,9 @@
 	// All requests that wait would go to the endpoint that is reported first.
 	report(true, first)
 	assert.Equal(t, arrivals(), 0)
+	// The third one is still forming too.
+	report(false, first, second)
+	assert.Equal(t, arrivals(), 0)
 	report(false, first, second, third)
 	assert.Equal(t, arrivals(), 0)
 	formed.Store(true)
