platform: limits and statements of cold starts are decoded

Cause: an endpoint that returns cold bears a limited rate of requests. The configuration, the settings, the endpoint's row and the header X-Cold-Ms state the limit and the time, and nothing read them but the row's time.

Change: cold_start_s and cold_per_s of a service, bounds.cold_overage and bounds.cold_slack, and X-Cold-Ms are decoded. Values out of range are bounded and reported; a negative time or one that is no number states nothing, so that a fault does not make an endpoint count as warm. A row without cold_remaining_ms is told from one with 0.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -23,8 +23,12 @@
 	// Started is the start time of the endpoint's process, by its own clock.
 	Started time.Time
 	// WarmupRemaining is the time until the endpoint reaches its full speed after
-	// a start.
+	// a start, as of the writing of the entry. WarmupStated is false if the entry does
+	// not state it.
 	WarmupRemaining time.Duration
+	WarmupStated    bool
+	// Revision differs between two contents of the entry.
+	Revision uint64
 }
 
 // Incarnation identifies one start of an endpoint's process.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,6 +98,18 @@
 	RateLimit float64
 	// Leaving is true if the endpoint states that it is about to stop.
 	Leaving bool
+	Cold    ColdStatement
+}
+
+// ColdStatement is what an answer states about the endpoint's cold start.
+type ColdStatement struct {
+	// Stated is true if it states a time; Remaining is the time until the endpoint is
+	// warm, zero if it is.
+	Stated    bool
+	Remaining time.Duration
+	// Fault is the beginning of the value that was stated if it was out of range or no
+	// number; empty otherwise.
+	Fault string
 }
 
 // Codec encodes and decodes the headers exchanged with endpoints.
@@ -156,6 +168,9 @@
 	Load float64
 	// Unhealthy is true if only unhealthy endpoints were available.
 	Unhealthy bool
+	// Reservation is what the Picker reserved for the attempt, for its Begin; nil for
+	// nothing. A Forwarder passes each Target to Begin.
+	Reservation any
 }
 
 // NoEndpointError reports that no endpoint can take a request now.
--- a/route/route.go
+++ b/route/route.go
@@ -19,6 +19,9 @@
 	Services      []Service
 	Organisations []Organisation
 	Limits        Limits
+	// Bounded reports the values that were out of range and have been replaced by the
+	// nearest bound.
+	Bounded []error
 }
 
 // Route defines how requests to one host below one path prefix are served.
@@ -77,6 +80,11 @@
 	HealthPath string
 	// MaxConnections is the number of connections that one endpoint accepts in total.
 	MaxConnections int
+	// ColdStart is the longest time for which an endpoint is cold after a start during
+	// traffic. ColdPerSecond is the number of requests per second that a cold endpoint
+	// bears, zero for no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine describes the model engines; nil for a plain service.
 	Engine *Engine
 }
