gateway: requests to cold endpoints are limited

Cause: gateways sent to an endpoint that returned cold without a limit.

Change: where the settings have bounds.cold_overage and the service has cold_per_s, gateway/cold.go excludes cold endpoints without a slot from the choice, for first attempts, retries and resumed streams, and tells the other gateways of an endpoint that states in an answer that it is cold. A gateway that starts is told by the others. The stand-in endpoint can become cold and crash above its rate. Log lines for each change of an endpoint's state, and the counter cold_limited_total.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/outstanding"
+	"github.com/cyclamenpoint/cyclamenpoint/pacing"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 )
 
@@ -163,12 +164,16 @@
 	target   forward.Target
 	withdraw func()
 	attempt  *quarantine.Attempt
+	// slot is that of the request at a cold endpoint, nil for none.
+	slot   *pacing.ColdSlot
+	sentAt time.Time
 }
 
 // Begin implements forward.Picker.
 func (p *endpointPicker) Begin(req *forward.Request, target forward.Target, withdraw func()) forward.Watch {
 	p.g.loads.Begin(target.ID)
-	return &watch{g: p.g, req: req, target: target, withdraw: withdraw}
+	slot, _ := target.Reservation.(*pacing.ColdSlot)
+	return &watch{g: p.g, req: req, target: target, withdraw: withdraw, slot: slot}
 }
 
 func (w *watch) site() quarantine.Site {
@@ -179,6 +184,8 @@
 
 // Sent implements forward.Watch.
 func (w *watch) Sent() {
+	w.sentAt = time.Now()
+	w.slot.Sent()
 	w.attempt = w.g.crashes.attempts.Begin(w.site(), w.req.Identity, func() {
 		if w.req.Match.Route.Repeat != deployment.RepeatAlways {
 			// It must not run elsewhere, so its answer here is the only one.
@@ -210,6 +217,8 @@
 
 // Stated implements forward.Watch.
 func (w *watch) Stated(a forward.Answer) {
+	w.slot.Answered(time.Now())
+	w.g.cold.observe(w.req.Match.Service, w.target.Endpoint, w.req.ID, w.sentAt, a.Cold)
 	w.g.limits.observe(w.target.Endpoint, w.req.ID, a.RateLimit)
 	w.g.limits.observeCooldown(w.target.Endpoint, w.req.ID, a)
 	if a.Leaving {
@@ -220,6 +229,7 @@
 // End implements forward.Watch.
 func (w *watch) End() {
 	w.g.loads.End(w.target.ID)
+	w.slot.End(time.Now())
 	if w.attempt != nil {
 		w.attempt.End()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,8 @@
 	GracePeriod time.Duration
 	// Budget limits the retries to each service.
 	Budget retry.WindowConfig
+	// Cold limits the requests to cold endpoints.
+	Cold ColdSettings
 }
 
 // Store reads and writes the platform's tables.
@@ -129,6 +131,7 @@
 	crashes           *crashes
 	limits            *limits
 	departures        *departures
+	cold              *coldEndpoints
 
 	// draining is true once the node is stopping, closing once it takes no more requests.
 	draining, closing atomic.Bool
@@ -189,6 +192,7 @@
 	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
 	g.limits = newLimits(g.notes, log)
 	g.departures = newDepartures(g.notes, log)
+	g.cold = newColdEndpoints(s.Cold, s.Node, g.notes, log)
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -203,6 +207,7 @@
 	g.runInBackground(ctx, g.gossip.Run)
 	g.runInBackground(ctx, g.pool.Run)
 	g.runInBackground(ctx, g.crashes.run)
+	g.runInBackground(ctx, g.cold.run)
 	if s.FirstStart {
 		g.notes.synced.Store(true)
 	} else {
@@ -231,6 +236,7 @@
 	g.table.Store(route.NewTable(cfg))
 	metric.SetConfigVersion(cfg.Version)
 	g.log.Info("configuration in force", "config", cfg.Version, "routes", len(cfg.Routes), "organisations", len(cfg.Organisations), "as_of", c.AsOf)
+	g.cold.setConfig(cfg)
 }
 
 // setEndpoints applies a new list of endpoints. After an outage of the store, endpoints
@@ -273,6 +279,7 @@
 		}
 	}
 	g.loads.SetEndpoints(byAddress)
+	g.cold.setEndpoints(set)
 	g.endpoints.Store(set)
 	g.departures.retain(set)
 	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
@@ -283,19 +290,21 @@
 
 // setNodes applies a new list of the system's own processes.
 func (g *Gateway) setNodes(nodes []gossip.Node) {
-	entries, turn := 0, 0
+	turn := 0
+	var entries []string
 	for i := range nodes {
 		if nodes[i].Kind != gossip.KindEntry {
 			continue
 		}
-		entries++
+		entries = append(entries, nodes[i].Name)
 		if nodes[i].Name < g.settings.Node {
 			turn++
 		}
 	}
-	g.budgets.SetNodes(entries)
-	g.loads.SetNodes(entries)
-	g.limits.pacer.SetNodes(turn, entries)
+	g.budgets.SetNodes(len(entries))
+	g.loads.SetNodes(len(entries))
+	g.limits.pacer.SetNodes(turn, len(entries))
+	g.cold.slots.SetNodes(entries, time.Now())
 }
 
 // setLoadReports stores the load reports of agents of rank groups.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -39,6 +40,9 @@
 	servers     map[string]*httptest.Server
 	// node is the gateway's name.
 	node string
+	// cold holds the settings for cold endpoints, service further fields of the service.
+	cold    gateway.ColdSettings
+	service map[string]any
 }
 
 // routeConfig is a route of the configuration under test.
@@ -101,13 +105,16 @@
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
+		Cold:   gw.cold,
 	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
 }
 
 func (gw *testGateway) configure(version int, routes []routeConfig) {
+	service := map[string]any{"name": "plain", "max_connections": 100}
+	maps.Copy(service, gw.service)
 	body, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
-		"services": []any{map[string]any{"name": "plain", "max_connections": 100}},
+		"services": []any{service},
 		"limits":   map[string]any{"max_body_bytes": 1000},
 		"tenants":  []any{map[string]any{"name": "org", "api_keys": []string{"key"}}},
 	})
--- a/gateway/notes.go
+++ b/gateway/notes.go
@@ -34,10 +34,12 @@
 	Limits           []pacing.Limit
 	// Leaving holds endpoints that have stated that they are about to stop.
 	Leaving []discovery.Incarnation
+	// Cold holds endpoints that have stated in an answer that they are cold.
+	Cold []pacing.ColdStatement
 }
 
 // notes exchanges what the entry nodes learn about endpoints from answers: crashes, rate
-// limits and departures.
+// limits, departures and cold starts.
 type notes struct {
 	address  string
 	gossip   *gossip.Gossiper
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -8,8 +8,10 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
+	"github.com/cyclamenpoint/cyclamenpoint/pacing"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
+	"github.com/cyclamenpoint/cyclamenpoint/route"
 	"github.com/cyclamenpoint/cyclamenpoint/syncrand"
 )
 
@@ -32,7 +34,7 @@
 	case quarantine.Suspect:
 		p.restrictToTrial(judgement, listed, reported)
 	}
-	choice, nextSlot := p.choose(listed, reported, p.workOf(req, now), now)
+	choice, slot, nextSlot := p.choose(service, listed, reported, p.workOf(req, now), now)
 	if choice.Index < 0 && judgement.State == quarantine.Suspect {
 		return forward.Target{}, &forward.NoEndpointError{
 			Reason:     fmt.Sprintf("request may crash endpoints and its trial endpoint cannot take it: suspects %d, group %s, age %s", len(judgement.Suspects), judgement.Group, judgement.Age),
@@ -48,7 +50,7 @@
 	}
 	return forward.Target{
 		Endpoint: listed[choice.Index], MaxConnections: g.connectionLimit(service.MaxConnections),
-		Load: reported[choice.Index].Load, Unhealthy: choice.Unhealthy,
+		Load: reported[choice.Index].Load, Unhealthy: choice.Unhealthy, Reservation: slot,
 	}, nil
 }
 
@@ -56,10 +58,10 @@
 // requests for which a request waits; otherwise it is refused at once.
 const maxSlotWait = time.Second
 
-// choose picks an endpoint and uses one of its slots if it limits its requests. nextSlot
-// is the time until the first slot of the endpoints that could be chosen otherwise, zero
-// if there are none.
-func (p *endpointPicker) choose(listed []discovery.Endpoint, reported []picker.ReportedEndpoint, work picker.Work, now time.Time) (choice picker.Choice, nextSlot time.Duration) {
+// choose picks an endpoint and uses one of its slots if it limits its requests or is cold.
+// nextSlot is the time until the first slot of the endpoints that could be chosen
+// otherwise, zero if there are none.
+func (p *endpointPicker) choose(service *route.Service, listed []discovery.Endpoint, reported []picker.ReportedEndpoint, work picker.Work, now time.Time) (choice picker.Choice, slot *pacing.ColdSlot, nextSlot time.Duration) {
 	for i := range reported {
 		wait := p.g.limits.pacer.Wait(pacedEndpoint(listed[i]), now)
 		if wait == 0 || reported[i].Excluded || reported[i].Tried {
@@ -70,14 +72,28 @@
 			nextSlot = wait
 		}
 	}
+	coldSlot := p.g.cold.restrict(service, listed, reported, now)
+	if coldSlot > 0 && (nextSlot == 0 || coldSlot < nextSlot) {
+		nextSlot = coldSlot
+	}
 	for {
 		choice = picker.DefaultReportPolicy.Choose(reported, work, syncrand.New())
-		if choice.Index < 0 || p.g.limits.pacer.Take(pacedEndpoint(listed[choice.Index]), now) {
-			return choice, nextSlot
+		if choice.Index < 0 {
+			break
+		}
+		e, free := &listed[choice.Index], false
+		if slot, free = p.g.cold.take(service, e, reported[choice.Index].Cold, now); free && p.g.limits.pacer.Take(pacedEndpoint(*e), now) {
+			break
 		}
 		// Another request has used the slot.
+		slot.End(now)
+		slot = nil
 		reported[choice.Index].Excluded = true
 	}
+	if coldSlot > 0 {
+		p.g.cold.countLimited(service.Name, choice.Index >= 0)
+	}
+	return choice, slot, nextSlot
 }
 
 // factDelay is the time within which other nodes may show that a request did not cause a
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -137,6 +137,7 @@
 		FirstStart:   s.FirstStart,
 		RelistPeriod: s.Bounds.RelistPeriod, GracePeriod: s.Bounds.GracePeriod,
 		Budget: retry.WindowConfig{Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve, Period: s.Bounds.RetryWindow},
+		Cold:   gateway.ColdSettings{Overage: s.Bounds.ColdOverage, Slack: s.Bounds.ColdSlack},
 	}
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -32,6 +32,13 @@
 	return metrics.GetOrCreateCounter(prefix + `refusals_total{service="` + service + `",cause="` + cause + `"}`)
 }
 
+// ColdLimited returns the counter of choices of an endpoint for which the limit of a cold
+// endpoint excluded at least one. Result is "elsewhere" if another endpoint was chosen and
+// "none" if no endpoint was left, so that the request waits or is refused.
+func ColdLimited(service, result string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(prefix + `cold_limited_total{service="` + service + `",result="` + result + `"}`)
+}
+
 // EndpointCrashes returns the counter of crashes of endpoints that this process has noticed
 // by a request of its own.
 func EndpointCrashes(service string) *metrics.Counter {
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -68,11 +69,14 @@
 	StreamLength int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
+	// AnswerDelay is the time from a request to the beginning of its answer.
+	AnswerDelay time.Duration
 	// DeadlyPart is a part of prompts; empty for none. The endpoint calls Crash, which
 	// has to close its listener and connections, instead of beginning an answer to a
 	// request with it.
 	DeadlyPart string
-	Crash      func()
+	// Crash is also called when a cold endpoint gets more requests than it bears.
+	Crash func()
 
 	mu          sync.Mutex
 	id          string
@@ -82,6 +86,14 @@
 	retryAfter  string
 	runs        []*Run
 	arrivals    int
+	// coldUntil is the end of a cold start, zero if there was none. coldLimit is the
+	// number of requests within a second above which it crashes until then.
+	coldUntil time.Time
+	coldLimit int
+	// coldArrivals holds the times of the requests of the last second of a cold start,
+	// coldPeak the most that there were.
+	coldArrivals []time.Time
+	coldPeak     int
 }
 
 // New returns an endpoint that injects no faults.
@@ -135,6 +147,37 @@
 	e.retryAfter = seconds
 }
 
+// coldWindow is the time in which the requests to a cold endpoint are counted.
+const coldWindow = time.Second
+
+// BecomeCold starts a cold start, in which answers state its remaining time and more than
+// limit requests within a second crash the endpoint. Afterwards answers state that it is
+// over.
+func (e *Endpoint) BecomeCold(d time.Duration, limit int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil, e.coldLimit, e.coldArrivals = time.Now().Add(d), limit, nil
+}
+
+// ColdPeak returns the most requests that arrived within a second of a cold start.
+func (e *Endpoint) ColdPeak() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.coldPeak
+}
+
+// recordCold counts an arrival in a cold start and reports whether the endpoint bears it.
+// The caller must hold mu.
+func (e *Endpoint) recordCold(now time.Time) bool {
+	if !now.Before(e.coldUntil) {
+		return true
+	}
+	e.coldArrivals = slices.DeleteFunc(e.coldArrivals, func(at time.Time) bool { return now.Sub(at) > coldWindow })
+	e.coldArrivals = append(e.coldArrivals, now)
+	e.coldPeak = max(e.coldPeak, len(e.coldArrivals))
+	return len(e.coldArrivals) <= e.coldLimit
+}
+
 // Arrivals returns the number of requests that have arrived, including those rejected.
 func (e *Endpoint) Arrivals() int {
 	e.mu.Lock()
@@ -168,11 +211,20 @@
 	if e.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if !e.coldUntil.IsZero() {
+		w.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
+	}
+	misdirected := r.Header.Get("X-Expect-Instance") != e.id
+	bears := misdirected || e.recordCold(time.Now())
 	retryAfter := e.retryAfter
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
 	e.mu.Unlock()
-	if r.Header.Get("X-Expect-Instance") != e.ID() {
+	if !bears {
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if misdirected {
 		w.Header().Set("X-Instance-Id", e.ID())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -194,6 +246,7 @@
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(e.AnswerDelay)
 	e.answer(w, r, run, fault)
 }
 
