Revert the wait for the first load reports after a start

Holding everyone serves fewer than refusing some.

What is missing is a limit of what a group takes in while its passes are too long.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,10 +117,9 @@
 
 // Gateway is a running entry node.
 type Gateway struct {
-	settings  Settings
-	protocol  Protocol
-	log       *slog.Logger
-	startedAt time.Time
+	settings Settings
+	protocol Protocol
+	log      *slog.Logger
 
 	table             atomic.Pointer[route.Table]
 	endpoints         atomic.Pointer[discovery.Set]
@@ -180,7 +179,7 @@
 // address.
 func Start(s Settings, protocol Protocol, store Store, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{
-		settings: s, protocol: protocol, log: log, startedAt: time.Now(),
+		settings: s, protocol: protocol, log: log,
 		loads: outstanding.New(), budgets: forward.NewRetryBudgets(s.Budget), pool: upstream.NewPool(upstreamTimeouts),
 	}
 	g.endpoints.Store(discovery.NewSet(nil))
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -27,9 +27,6 @@
 		return forward.Target{}, err
 	}
 	reported := p.reportedEndpoints(listed, now)
-	if p.g.awaitsReports(service, now) {
-		excludeUnreported(reported)
-	}
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
@@ -60,36 +57,6 @@
 	}, nil
 }
 
-// firstReportsPeriod is the time after a gateway's start within which the first load
-// reports arrive: agents that start at the same moment need up to a second until one of
-// them leads.
-const firstReportsPeriod = 1500 * time.Millisecond
-
-// awaitsReports reports whether this node has started so recently that the rank group of an
-// endpoint without a load report may still be forming. After a power failure all groups form
-// for some hundred ms and reject requests: each costs a retry of a budget that is nearly
-// empty then, and a refused caller returns only once.
-func (g *Gateway) awaitsReports(service *route.Service, now time.Time) bool {
-	return service.Engine != nil && service.Engine.Experts != nil && now.Sub(g.startedAt) < firstReportsPeriod
-}
-
-// excludeUnreported excludes the endpoints without a load report, and all if that are more
-// than half: the first reports name a few endpoints, which must not get all requests that
-// wait.
-func excludeUnreported(endpoints []picker.ReportedEndpoint) {
-	reported := 0
-	for i := range endpoints {
-		if endpoints[i].Reported {
-			reported++
-		}
-	}
-	for i := range endpoints {
-		if !endpoints[i].Reported || 2*reported < len(endpoints) {
-			endpoints[i].Excluded = true
-		}
-	}
-}
-
 // maxSlotWait is the longest time until the next slot of an endpoint that limits its
 // requests for which a request waits; otherwise it is refused at once.
 const maxSlotWait = time.Second
