--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -27,9 +27,6 @@
 		return forward.Target{}, err
 	}
 	reported := p.reportedEndpoints(listed, now)
-	if p.g.awaitsReports(service, reported, now) {
-		excludeAll(reported)
-	}
 	for i := range listed {
 		reported[i].Tried = slices.Contains(tried, listed[i].ID)
 	}
@@ -60,36 +57,6 @@
 	}, nil
 }
 
-// firstReportsPeriod is the time after a gateway's start within which the first load
-// reports arrive: agents that start at the same moment need up to a second until one of
-// them leads.
-const firstReportsPeriod = 1500 * time.Millisecond
-
-// awaitsReports reports whether this node has started so recently that most endpoints of a
-// service have not been reported yet, so their rank groups may still be forming. After a
-// power failure all groups form for some hundred ms and reject requests: each costs a retry
-// of a budget that is nearly empty then, and a refused caller returns only once. The first
-// reports name a few endpoints, which must not get all requests that wait.
-func (g *Gateway) awaitsReports(service *route.Service, endpoints []picker.ReportedEndpoint, now time.Time) bool {
-	if service.Engine == nil || service.Engine.Experts == nil || now.Sub(g.startedAt) >= firstReportsPeriod {
-		return false
-	}
-	reported := 0
-	for i := range endpoints {
-		if endpoints[i].Reported {
-			reported++
-		}
-	}
-	return 2*reported < len(endpoints)
-}
-
-// excludeAll excludes all endpoints.
-func excludeAll(endpoints []picker.ReportedEndpoint) {
-	for i := range endpoints {
-		endpoints[i].Excluded = true
-	}
-}
-
 // maxSlotWait is the longest time until the next slot of an endpoint that limits its
 // requests for which a request waits; otherwise it is refused at once.
 const maxSlotWait = time.Second
