--- /dev/null
+++ b/connlimit/connlimit.go
@@ -0,0 +1,397 @@
+// Package connlimit bounds the connections of an HTTP server and the memory that unfinished
+// requests take. At the limit of connections, the one that has waited for the end of a
+// request's head for the longest time, idle or not, is closed for a new one. Heads are
+// limited while they arrive: net/http has a limit of its own, but it cannot change while
+// the server runs, and it holds for each connection and not for all together.
+package connlimit
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
+)
+
+const (
+	// freeBytes is the part of a head that is not reserved. It fits into the buffers that
+	// each connection has anyway; ConnectionBytes includes them.
+	freeBytes = 4 << 10
+	// bytesPerByte is the memory for a byte of a head or body that net/http and a handler
+	// keep: buffers grow by copying, and headers are parsed into strings.
+	bytesPerByte = 3
+	// headSlack is what a connection may read beyond the limit of a head: the buffer of
+	// net/http may hold the beginning of the body too.
+	headSlack = 4 << 10
+	// ConnectionBytes is the memory of an open connection: stacks, and the buffers of
+	// net/http for reading and writing.
+	ConnectionBytes = 20 << 10
+	// reclaimTime is how long a new connection waits for one that is being closed, and
+	// reclaimPoll the time between two checks.
+	reclaimTime = 100 * time.Millisecond
+	reclaimPoll = 5 * time.Millisecond
+	// refusalTime limits the writing of a refusal to a caller that does not read.
+	refusalTime = 100 * time.Millisecond
+)
+
+// Answers to requests that are refused before their head is complete. They have not run.
+const (
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	memoryFull   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// Config configures a Listener.
+type Config struct {
+	// MaxConnections is the limit of open connections.
+	MaxConnections int
+	// MaxHeadBytes returns the limit of a request's head.
+	MaxHeadBytes func() int
+	// Memory is the budget for heads.
+	Memory *membudget.Budget
+	// CountBodies is true if the bodies of requests are reserved like heads. Otherwise the
+	// handler reserves memory for them.
+	CountBodies bool
+	// EvictActive is true if connections with a request in its handler may be closed for new
+	// ones. Otherwise only those are that wait for the end of a head.
+	EvictActive bool
+	// OnRefusal is called for each connection that is closed because of a limit.
+	OnRefusal func(cause string)
+}
+
+// Causes of refusals.
+const (
+	CauseEvicted     = "evicted"
+	CauseConnections = "connections"
+	CauseHeadSize    = "head-size"
+	CauseMemory      = "memory"
+	CauseStalled     = "stalled"
+)
+
+// Listener is a net.Listener with a limit of connections. Server connects it to an
+// http.Server, which has to serve it.
+type Listener struct {
+	net.Listener
+	cfg Config
+
+	mu   sync.Mutex
+	open int
+	// oldest and newest are the ends of the list of the connections that wait for the end
+	// of a head, ordered by the time since which they do.
+	oldest, newest *Conn
+}
+
+// Listen wraps a listener and sets the hooks of the server that is to serve it.
+func Listen(inner net.Listener, server *http.Server, cfg Config) *Listener {
+	l := &Listener{Listener: inner, cfg: cfg}
+	server.ConnState = l.connState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, contextKey{}, c)
+	}
+	return l
+}
+
+// Limiter returns a function that limits a listener for other processes or operators, whose
+// requests are small.
+func Limiter(name string, maxConnections, maxHeadBytes int, memory *membudget.Budget, log *slog.Logger) func(net.Listener, *http.Server) net.Listener {
+	return func(inner net.Listener, server *http.Server) net.Listener {
+		return Listen(inner, server, Config{
+			MaxConnections: maxConnections, MaxHeadBytes: func() int { return maxHeadBytes }, Memory: memory, CountBodies: true, EvictActive: true,
+			OnRefusal: NewReporter(name, log).Refused,
+		})
+	}
+}
+
+// WithoutBodies refuses requests with a body. After a handler that does not read the body,
+// net/http would wait for it, and the connection would stay open meanwhile.
+func WithoutBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		LeaveBody(w, 0)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})
+}
+
+// LeaveBody closes the connection of a request whose body is not read, unless the rest of the
+// body arrives within a time.
+func LeaveBody(w http.ResponseWriter, within time.Duration) {
+	// This fails only if the connection is closed.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(within))
+}
+
+type contextKey struct{}
+
+// Caller returns the address of the caller of a request that a Listener accepted.
+func Caller(ctx context.Context) netip.Addr {
+	if c, ok := ctx.Value(contextKey{}).(*Conn); ok {
+		return c.caller
+	}
+	return netip.Addr{}
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.admit() {
+			c := &Conn{Conn: raw, listener: l}
+			if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+				c.caller = tcp.AddrPort().Addr()
+			}
+			l.mu.Lock()
+			l.list(c)
+			l.mu.Unlock()
+			return c, nil
+		}
+		l.refused(CauseConnections)
+		// The caller has sent nothing that could be answered yet.
+		_ = raw.Close()
+	}
+}
+
+func (l *Listener) refused(cause string) {
+	if l.cfg.OnRefusal != nil {
+		l.cfg.OnRefusal(cause)
+	}
+}
+
+// admit counts a new connection, and closes another one at the limit. It returns false if
+// none can be closed.
+func (l *Listener) admit() bool {
+	if l.tryAdmit() {
+		return true
+	}
+	if !l.cfg.Memory.RevokeOldest() {
+		return false
+	}
+	// The handler of a revoked request answers it before its connection is closed.
+	for range reclaimTime / reclaimPoll {
+		time.Sleep(reclaimPoll)
+		if l.tryAdmit() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Listener) tryAdmit() bool {
+	l.mu.Lock()
+	if l.open < l.cfg.MaxConnections {
+		l.open++
+		l.mu.Unlock()
+		return true
+	}
+	victim := l.oldest
+	if victim == nil {
+		l.mu.Unlock()
+		return false
+	}
+	l.unlist(victim)
+	// The server closes the connection too, after its read has failed.
+	victim.uncount()
+	l.open++
+	l.mu.Unlock()
+	l.refused(CauseEvicted)
+	// An error means that the caller has closed the connection.
+	_ = victim.Conn.Close()
+	return true
+}
+
+// connState is the hook of http.Server. The server reports a connection as active after it
+// has read the head of a request, and as idle after it has answered the request.
+func (l *Listener) connState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		if !l.cfg.EvictActive {
+			l.mu.Lock()
+			l.unlist(c)
+			l.mu.Unlock()
+		}
+		if memory := c.memory.Load(); memory != nil {
+			memory.SetRevocable(nil)
+		}
+		c.inHandler.Store(true)
+	case http.StateIdle:
+		c.inHandler.Store(false)
+		c.requestBytes = 0
+		c.releaseMemory()
+		l.mu.Lock()
+		l.unlist(c)
+		if !c.closed && !c.uncounted {
+			l.list(c)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// list adds a connection as the one that has waited for the shortest time. The caller holds
+// the lock.
+func (l *Listener) list(c *Conn) {
+	c.listed, c.older, c.newer = true, l.newest, nil
+	if l.newest == nil {
+		l.oldest = c
+	} else {
+		l.newest.newer = c
+	}
+	l.newest = c
+}
+
+// unlist removes a connection from the list. The caller holds the lock.
+func (l *Listener) unlist(c *Conn) {
+	if !c.listed {
+		return
+	}
+	if c.older == nil {
+		l.oldest = c.newer
+	} else {
+		c.older.newer = c.newer
+	}
+	if c.newer == nil {
+		l.newest = c.older
+	} else {
+		c.newer.older = c.older
+	}
+	c.listed, c.older, c.newer = false, nil, nil
+}
+
+// Conn is a connection that a Listener has accepted.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	caller   netip.Addr
+
+	// inHandler is true while a request is handled.
+	inHandler atomic.Bool
+	// requestBytes are the bytes of the current request that count towards the limits. Only
+	// the goroutine that reads uses it.
+	requestBytes int
+	// memory is what is reserved for them; nil for a request of up to freeBytes.
+	memory atomic.Pointer[membudget.Reservation]
+
+	// The fields below are guarded by the lock of the listener. uncounted is true if the
+	// connection no longer counts as open.
+	closed, uncounted bool
+	listed            bool
+	older, newer      *Conn
+}
+
+// uncount counts a connection as closed. The caller holds the lock of the listener.
+func (c *Conn) uncount() {
+	if !c.uncounted {
+		c.uncounted = true
+		c.listener.open--
+	}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	inHandler := c.inHandler.Load()
+	if n == 0 || (inHandler && !c.listener.cfg.CountBodies) {
+		return n, err
+	}
+	c.requestBytes += n
+	if c.requestBytes <= freeBytes {
+		return n, err
+	}
+	if refusal := c.count(n, inHandler); refusal != nil {
+		return 0, refusal
+	}
+	return n, err
+}
+
+// count applies the limits to n more bytes of a request. It returns an error, after which
+// the server closes the connection, if the request is refused.
+func (c *Conn) count(n int, inHandler bool) error {
+	cfg := &c.listener.cfg
+	if !inHandler && c.requestBytes > cfg.MaxHeadBytes()+headSlack {
+		return c.refuse(CauseHeadSize, headTooLarge, inHandler)
+	}
+	memory := c.memory.Load()
+	if memory == nil {
+		memory = cfg.Memory.Open(c.caller)
+		if !inHandler {
+			memory.SetRevocable(c.revoke)
+		}
+		c.memory.Store(memory)
+	}
+	memory.Progress(n)
+	if memory.Grow(context.Background(), int64(bytesPerByte*n)) != nil {
+		return c.refuse(CauseMemory, memoryFull, inHandler)
+	}
+	c.listener.mu.Lock()
+	closed := c.closed
+	c.listener.mu.Unlock()
+	if closed {
+		c.releaseMemory()
+	}
+	return nil
+}
+
+// revoke ends a head that makes no progress.
+func (c *Conn) revoke() {
+	c.listener.refused(CauseStalled)
+	// An error means that the caller has closed the connection.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// refuse answers a request whose head is not complete. While a handler runs, which sends the
+// answer, it only ends the reading.
+func (c *Conn) refuse(cause, answer string, inHandler bool) error {
+	c.listener.refused(cause)
+	if !inHandler && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
+		// A caller that does not read gets no answer.
+		_, _ = io.WriteString(c.Conn, answer)
+	}
+	return io.EOF
+}
+
+// CloseWrite closes the writing side. The server uses it to deliver its last answer.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	l := c.listener
+	l.mu.Lock()
+	c.closed = true
+	l.unlist(c)
+	c.uncount()
+	l.mu.Unlock()
+	c.releaseMemory()
+	return err
+}
+
+// releaseMemory returns the memory of the current request.
+func (c *Conn) releaseMemory() {
+	if memory := c.memory.Swap(nil); memory != nil {
+		memory.Release()
+	}
+}
--- /dev/null
+++ b/connlimit/connlimit_test.go
@@ -0,0 +1,187 @@
+package connlimit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
+)
+
+const testHeadBytes = 8 << 10
+
+// testServer is a server behind a Listener.
+type testServer struct {
+	t        *testing.T
+	listener *Listener
+	memory   *membudget.Budget
+	handled  atomic.Int64
+	// block makes handlers wait until it is closed; nil for not at all.
+	block chan struct{}
+}
+
+func serve(t *testing.T, cfg Config) *testServer {
+	s := &testServer{t: t, memory: membudget.New(membudget.Config{MaxWait: 10 * time.Millisecond, PressureStall: time.Minute, MaxStall: time.Minute})}
+	cfg.Memory = s.memory
+	cfg.MaxHeadBytes = func() int { return testHeadBytes }
+	cfg.OnRefusal = NewReporter("test", slog.New(slog.DiscardHandler)).Refused
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{MaxHeaderBytes: 64 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.handled.Add(1)
+		assert.Check(t, Caller(r.Context()) == netip.MustParseAddr("127.0.0.1"))
+		if s.block != nil {
+			<-s.block
+		}
+		_, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})}
+	s.listener = Listen(inner, server, cfg)
+	go func() { _ = server.Serve(s.listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func (s *testServer) dial() net.Conn {
+	conn, err := net.Dial("tcp", s.listener.Addr().String())
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// call sends a request and returns the status of the answer; 0 if the connection was closed.
+func (s *testServer) call(conn net.Conn, head, body string) int {
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// waitUntil waits for a state that another goroutine brings about.
+func waitUntil(t *testing.T, what string, reached func() bool) {
+	t.Helper()
+	for range 2000 {
+		if reached() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// TestEviction guards against idle connections that keep others out, and against the closing
+// of a connection whose request is handled or that was used last.
+func TestEviction(t *testing.T) {
+	s := serve(t, Config{MaxConnections: 3})
+	idle, kept := s.dial(), s.dial()
+	assert.Equal(t, s.call(idle, "", ""), 200)
+	assert.Equal(t, s.call(kept, "", ""), 200)
+	s.block = make(chan struct{})
+	busy := s.dial()
+	answer := make(chan int)
+	go func() { answer <- s.call(busy, "", "body") }()
+	waitUntil(t, "no request is handled", func() bool { return s.handled.Load() == 3 })
+	latest := s.dial()
+	// The longest idle connection is closed.
+	_, err := idle.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	close(s.block)
+	assert.Equal(t, <-answer, 200)
+	assert.Equal(t, s.call(kept, "", ""), 200)
+	assert.Equal(t, s.call(latest, "", ""), 200)
+	assert.Equal(t, s.listener.Open(), 3)
+}
+
+// TestFull guards against a limit that is exceeded when no connection can be closed.
+func TestFull(t *testing.T) {
+	s := serve(t, Config{MaxConnections: 2})
+	s.block = make(chan struct{})
+	answers := make(chan int)
+	for range 2 {
+		conn := s.dial()
+		go func() { answers <- s.call(conn, "", "") }()
+	}
+	waitUntil(t, "requests are not handled", func() bool { return s.handled.Load() == 2 })
+	refused := s.dial()
+	_, err := refused.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	close(s.block)
+	assert.Equal(t, <-answers, 200)
+	assert.Equal(t, <-answers, 200)
+	assert.Equal(t, s.call(s.dial(), "", ""), 200)
+}
+
+// TestHeads guards against heads that exceed the limit or find no memory: they are refused
+// before they are handled, and their memory is returned.
+func TestHeads(t *testing.T) {
+	s := serve(t, Config{MaxConnections: 100})
+	line := func(n int) string { return "X-A: " + strings.Repeat("a", n) + "\r\n" }
+	assert.Equal(t, s.call(s.dial(), line(testHeadBytes-100), ""), 200)
+	// Beyond headSlack the connection may be reset before the answer is read.
+	status := s.call(s.dial(), line(testHeadBytes+headSlack+100), "")
+	assert.Assert(t, status == http.StatusRequestHeaderFieldsTooLarge || status == 0, "%d", status)
+	other := s.memory.Open(netip.Addr{})
+	other.ForceGrow(s.memory.Stats().Size)
+	status = s.call(s.dial(), line(testHeadBytes-100), "")
+	assert.Assert(t, status == http.StatusServiceUnavailable || status == 0, "%d", status)
+	// A head that fits into the buffers of a connection needs no memory of the budget.
+	assert.Equal(t, s.call(s.dial(), line(1000), strings.Repeat("x", 1<<20)), 200)
+	other.Release()
+	conn := s.dial()
+	for range 3 {
+		assert.Equal(t, s.call(conn, line(testHeadBytes-100), strings.Repeat("x", 1<<20)), 200)
+	}
+	assert.Equal(t, s.handled.Load(), int64(5))
+	waitUntil(t, "memory is not returned", func() bool { return s.memory.Stats().Used == 0 })
+}
+
+// TestCountBodies guards against bodies that take memory without a limit on listeners whose
+// handlers do not reserve any.
+func TestCountBodies(t *testing.T) {
+	s := serve(t, Config{MaxConnections: 100, CountBodies: true})
+	assert.Equal(t, s.call(s.dial(), "", strings.Repeat("x", 256<<10)), 200)
+	waitUntil(t, "memory is not returned", func() bool { return s.memory.Stats().Used == 0 })
+	s.memory.Open(netip.Addr{}).ForceGrow(s.memory.Stats().Size)
+	status := s.call(s.dial(), "", strings.Repeat("x", 256<<10))
+	assert.Assert(t, status == http.StatusBadRequest || status == 0, "%d", status)
+}
+
+// TestWithoutBodies guards against connections that stay open for a body that nobody reads.
+func TestWithoutBodies(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: WithoutBodies(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}
+	go func() { _ = server.Serve(inner) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	assert.NilError(t, err)
+	// The server closes the connection.
+	_, err = io.Copy(io.Discard, conn)
+	assert.NilError(t, err)
+	resp, err := http.Get("http://" + inner.Addr().String())
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -32,6 +32,12 @@
 	return metrics.GetOrCreateCounter(prefix + `refusals_total{service="` + service + `",cause="` + cause + `"}`)
 }
 
+// CallerRefusals returns the counter of connections and requests that a listener refused or
+// closed because of a limit on memory or connections, by cause.
+func CallerRefusals(listener, cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(prefix + `connection_refusals_total{listener="` + listener + `",cause="` + cause + `"}`)
+}
+
 // EndpointCrashes returns the counter of crashes of endpoints that this process has noticed
 // by a request of its own.
 func EndpointCrashes(service string) *metrics.Counter {
