gateway, agent: limits on memory and connections of callers and other clients

Cause: bodies were read by io.ReadAll, which keeps up to twice their size, without a limit over all callers; heads had a limit of 64 KB (1 MB on readiness and metrics); no listener limited its connections; after a refusal net/http waits without limit for an unread body.

Change: bodies are read in pieces of up to 64 KB whose memory is reserved as they arrive. A request that finds none within 1 s, or makes no progress while others wait, is refused with 503 (overloaded, not run) and a Retry-After. Answers that are read in full use the same budget, and lose it while others wait and the caller does not read. All listeners limit their connections and heads, connections to endpoints have a common limit, copies for peers are encoded for 8 at a time, and the garbage collector has a soft limit. Limits follow from limits.memory_mb and limits.max_fds. Bodies above 128 KB count as they are in fingerprints, since decoding JSON takes up to fifty times its size.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -75,7 +75,7 @@
 // relayBuffered reads a response that is not a stream in full and then sends it
 // to the caller.
 func (r *requestState) relayBuffered(ctx context.Context, conn *upstream.Conn, resp *http.Response, success bool) result {
-	body, err := readBody(resp.Body, r.f.buffers)
+	body, err := readBody(ctx, resp.Body, r.f.memory.Open(r.req.Caller))
 	if err != nil {
 		return failedResult(ctx, "answer cannot be used: "+err.Error())
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -174,10 +173,10 @@
 	req := &http.Request{
 		Method: r.req.Method, URL: &url.URL{Scheme: "http", Host: target.Address, Opaque: r.req.URI}, RequestURI: r.req.URI,
 		Host: r.req.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(r.req.Body)),
+		ContentLength: r.req.bodyLength(),
 	}
 	if len(r.req.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.req.Body))
+		req.Body = io.NopCloser(r.req.bodyReader())
 	}
 	return req
 }
--- a/forward/buffer.go
+++ b/forward/buffer.go
@@ -1,10 +1,11 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"strconv"
 
-	"golang.org/x/sync/semaphore"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 )
 
 const (
@@ -13,15 +14,13 @@
 	// responses fail.
 	maxBufferedBytes = 4 << 20
 	// minBufferChunkBytes and maxBufferChunkBytes are the sizes of the first and of the
-	// later chunks in which a response is kept.
+	// later chunks in which a response is kept. The first one is not reserved: it counts
+	// as memory of the caller's connection.
 	minBufferChunkBytes = 2 << 10
 	maxBufferChunkBytes = 32 << 10
-	// freeBufferBytes is the part of a response that does not count towards
-	// sharedBufferBytes, so that ordinary responses never have to wait for memory.
+	// freeBufferBytes is the part of a response that is reserved even if the budget is
+	// exhausted, so that ordinary responses never have to wait for memory.
 	freeBufferBytes = 2 * maxBufferChunkBytes
-	// sharedBufferBytes limits what all responses together keep beyond that. Faulty
-	// endpoints may send bytes without end in many responses at once.
-	sharedBufferBytes = 32 << 20
 )
 
 // AnswerTooLongError reports a response that is longer than the limit.
@@ -32,33 +31,23 @@
 	return "answer is longer than " + strconv.Itoa(maxBufferedBytes) + " bytes"
 }
 
-// BuffersFullError reports that no memory is left for a long response.
-type BuffersFullError struct{}
-
-// Error implements error.
-func (*BuffersFullError) Error() string {
-	return "long answers use all " + strconv.Itoa(sharedBufferBytes) + " bytes of their memory"
-}
-
 // bufferedBody is a response body that was read in full.
 type bufferedBody struct {
 	chunks [][]byte
 	size   int
-	// shared is the memory that counts towards the limit of budget.
-	shared int64
-	budget *semaphore.Weighted
+	memory *membudget.Reservation
 }
 
 // readBody reads a body to its end. It returns an *AnswerTooLongError, a
-// *BuffersFullError, or the error of the body. The result must be released unless there
-// is an error.
-func readBody(body io.Reader, budget *semaphore.Weighted) (*bufferedBody, error) {
-	b := &bufferedBody{budget: budget}
+// *membudget.FullError, or the error of the body or the context. The result must be
+// released unless there is an error.
+func readBody(ctx context.Context, body io.Reader, memory *membudget.Reservation) (*bufferedBody, error) {
+	b := &bufferedBody{memory: memory}
 	var chunk []byte
 	for {
 		if len(chunk) == cap(chunk) {
 			var err error
-			if chunk, err = b.grow(); err != nil {
+			if chunk, err = b.grow(ctx); err != nil {
 				b.release()
 				return nil, err
 			}
@@ -77,34 +66,53 @@
 }
 
 // grow adds an empty chunk for the next bytes.
-func (b *bufferedBody) grow() ([]byte, error) {
+func (b *bufferedBody) grow(ctx context.Context) ([]byte, error) {
 	if b.size > maxBufferedBytes {
 		return nil, &AnswerTooLongError{}
 	}
 	n := min(max(b.size, minBufferChunkBytes), maxBufferChunkBytes)
 	if b.size >= freeBufferBytes {
-		if !b.budget.TryAcquire(int64(n)) {
-			return nil, &BuffersFullError{}
+		if err := b.memory.Grow(ctx, int64(n)); err != nil {
+			return nil, err
 		}
-		b.shared += int64(n)
+	} else if b.size > 0 {
+		b.memory.ForceGrow(int64(n))
 	}
 	chunk := make([]byte, 0, n)
 	b.chunks = append(b.chunks, chunk)
 	return chunk, nil
 }
 
-// writeTo writes the body to a sink.
+// aborter is a Sink whose writes can be ended from outside.
+type aborter interface {
+	// Abort makes the current and all further calls of Write fail. It must not block.
+	Abort()
+}
+
+// writeTo writes the body to a sink. Its memory can be revoked from a caller that does not
+// read.
 func (b *bufferedBody) writeTo(sink Sink) error {
-	for _, chunk := range b.chunks {
+	if a, ok := sink.(aborter); ok && len(b.chunks) > 1 {
+		b.memory.SetRevocable(a.Abort)
+		defer b.memory.SetRevocable(nil)
+	}
+	for i, chunk := range b.chunks {
 		if err := sink.Write(chunk); err != nil {
 			return err
 		}
+		if i > 0 {
+			b.chunks[i] = nil
+			b.memory.Shrink(int64(cap(chunk)))
+			b.memory.Progress(cap(chunk))
+		}
 	}
 	return nil
 }
 
 // release returns the memory of the body.
 func (b *bufferedBody) release() {
-	b.budget.Release(b.shared)
-	b.chunks, b.shared = nil, 0
+	if len(b.chunks) > 1 {
+		b.memory.Release()
+	}
+	b.chunks = nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,16 +7,18 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
@@ -35,8 +37,13 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
-	Match  route.Match
+	// Body is the body, or its first piece if Rest is not empty.
+	Body []byte
+	// Rest holds the further pieces of a body that is not in one piece.
+	Rest  [][]byte
+	Match route.Match
+	// Caller is the address of the caller, for the limits on the memory of answers.
+	Caller netip.Addr
 	// Arrived is when the request headers were read.
 	Arrived time.Time
 	// Deadline is the caller's deadline, or that of the route if it is earlier.
@@ -56,6 +63,28 @@
 	Identity *quarantine.Request
 }
 
+// bodyLength returns the length of the body.
+func (r *Request) bodyLength() int64 {
+	n := len(r.Body)
+	for _, piece := range r.Rest {
+		n += len(piece)
+	}
+	return int64(n)
+}
+
+// bodyReader returns a reader of the body.
+func (r *Request) bodyReader() io.Reader {
+	if len(r.Rest) == 0 {
+		return bytes.NewReader(r.Body)
+	}
+	readers := make([]io.Reader, 0, 1+len(r.Rest))
+	readers = append(readers, bytes.NewReader(r.Body))
+	for _, piece := range r.Rest {
+		readers = append(readers, bytes.NewReader(piece))
+	}
+	return io.MultiReader(readers...)
+}
+
 // Attempt holds the values that an endpoint gets in the headers of one attempt.
 type Attempt struct {
 	// Endpoint is the id of the endpoint that the attempt is for; any other must
@@ -226,14 +255,14 @@
 	picker  Picker
 	pool    *upstream.Pool
 	budgets *RetryBudgets
-	// buffers is the memory for long responses.
-	buffers *semaphore.Weighted
-	log     *slog.Logger
+	// memory is the memory for responses that are read in full.
+	memory *membudget.Budget
+	log    *slog.Logger
 }
 
 // New returns a Forwarder.
-func New(codec Codec, picker Picker, pool *upstream.Pool, budgets *RetryBudgets, log *slog.Logger) *Forwarder {
-	return &Forwarder{codec: codec, picker: picker, pool: pool, budgets: budgets, buffers: semaphore.NewWeighted(sharedBufferBytes), log: log}
+func New(codec Codec, picker Picker, pool *upstream.Pool, budgets *RetryBudgets, memory *membudget.Budget, log *slog.Logger) *Forwarder {
+	return &Forwarder{codec: codec, picker: picker, pool: pool, budgets: budgets, memory: memory, log: log}
 }
 
 // Do forwards a request. It returns nil once the complete response is in sink, or
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
@@ -83,7 +84,7 @@
 		p.targets = append(p.targets, forward.Target{Endpoint: discovery.Endpoint{ID: e.ID(), Address: strings.TrimPrefix(server.URL, "http://")}})
 	}
 	budgets := forward.NewRetryBudgets(retry.WindowConfig{Ratio: 0.2, Reserve: 100, Period: 10 * time.Second})
-	f := forward.New(platform.Protocol{}, p, upstream.NewPool(upstream.Timeouts{Connect: time.Second}), budgets, slog.New(slog.DiscardHandler))
+	f := forward.New(platform.Protocol{}, p, upstream.NewPool(upstream.Timeouts{Connect: time.Second}), budgets, membudget.New(membudget.Config{}), slog.New(slog.DiscardHandler))
 	now := time.Now()
 	c := &caller{}
 	problem := f.Do(context.Background(), &forward.Request{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,13 +14,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenpoint/cyclamenpoint/connlimit"
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/gossip"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/outstanding"
 	"github.com/cyclamenpoint/cyclamenpoint/pacing"
+	"github.com/cyclamenpoint/cyclamenpoint/resource"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 	"github.com/cyclamenpoint/cyclamenpoint/upstream"
@@ -101,6 +104,10 @@
 	GracePeriod time.Duration
 	// Budget limits the retries to each service.
 	Budget retry.WindowConfig
+	// Plan holds the limits of connections; the zero value stands for the default limits.
+	Plan resource.Plan
+	// Memory is the budget of the process for callers; nil for one of the plan's size.
+	Memory *membudget.Budget
 }
 
 // Store reads and writes the platform's tables.
@@ -114,6 +121,10 @@
 	settings Settings
 	protocol Protocol
 	log      *slog.Logger
+	// memory is the budget for heads, bodies and answers of callers, and refusals counts
+	// the callers that were refused because of it or of the limit of connections.
+	memory   *membudget.Budget
+	refusals *connlimit.Reporter
 
 	table             atomic.Pointer[route.Table]
 	endpoints         atomic.Pointer[discovery.Set]
@@ -170,13 +181,20 @@
 // Start starts a gateway. The error is a *net.OpError if it cannot listen at an
 // address.
 func Start(s Settings, protocol Protocol, store Store, log *slog.Logger) (*Gateway, error) {
+	if s.Plan == (resource.Plan{}) {
+		s.Plan = resource.NewPlan(0, 0, connlimit.ConnectionBytes)
+	}
+	if s.Memory == nil {
+		s.Memory = membudget.New(membudget.DefaultConfig(s.Plan.RequestBytes))
+	}
 	g := &Gateway{
-		settings: s, protocol: protocol, log: log,
+		settings: s, protocol: protocol, log: log, memory: s.Memory, refusals: connlimit.NewReporter("callers", log),
 		loads: outstanding.New(), budgets: forward.NewRetryBudgets(s.Budget), pool: upstream.NewPool(upstreamTimeouts),
 	}
+	g.pool.SetMaxConnections(s.Plan.Endpoints)
 	g.endpoints.Store(discovery.NewSet(nil))
 	g.budgets.SetNodes(unknownNodes)
-	g.forwarder = forward.New(protocol, &endpointPicker{g}, g.pool, g.budgets, log)
+	g.forwarder = forward.New(protocol, &endpointPicker{g}, g.pool, g.budgets, g.memory, log)
 	g.configFollower = follow.New(s.Tables.Config, store, configTiming, log, g.setConfig)
 	timing := endpointTiming
 	timing.FastStart = !s.FirstStart
@@ -185,10 +203,13 @@
 		Name: s.Node, Kind: gossip.KindEntry, Address: s.PeerAddress, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
 	g.gossip = gossip.NewGossiper(s.PeerAddress, s.Seeds, g.registry, []*follow.Follower{g.configFollower, g.endpointsFollower, g.registry.Follower()}, log, g.setLoadReports)
+	g.gossip.LimitConnections(connlimit.Limiter("peers", s.Plan.Peers, gossip.MaxHeadBytes, g.memory, log))
 	g.notes = newNotes(s.PeerAddress, g.gossip, g.registry, log)
 	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
 	g.limits = newLimits(g.notes, log)
 	g.departures = newDepartures(g.notes, log)
+	metric.RegisterGauge("caller_memory_bytes", func() float64 { return float64(g.memory.Stats().Used) })
+	metric.RegisterGauge("caller_memory_waiting", func() float64 { return float64(g.memory.Stats().Waiting) })
 	metric.RegisterGauge("requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
@@ -202,6 +223,7 @@
 	g.runInBackground(ctx, g.registry.Run)
 	g.runInBackground(ctx, g.gossip.Run)
 	g.runInBackground(ctx, g.pool.Run)
+	g.runInBackground(ctx, g.memory.Run)
 	g.runInBackground(ctx, g.crashes.run)
 	if s.FirstStart {
 		g.notes.synced.Store(true)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
@@ -39,6 +40,10 @@
 	servers     map[string]*httptest.Server
 	// node is the gateway's name.
 	node string
+	// memory is the budget for callers; nil for the default one. maxBodyBytes is the limit of
+	// the configuration.
+	memory       *membudget.Budget
+	maxBodyBytes int
 }
 
 // routeConfig is a route of the configuration under test.
@@ -100,7 +105,7 @@
 		Node: gw.node, FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
-		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
+		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second}, Memory: gw.memory,
 	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), slog.New(slog.DiscardHandler))
 }
 
@@ -108,7 +113,7 @@
 	body, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": "plain", "max_connections": 100}},
-		"limits":   map[string]any{"max_body_bytes": 1000},
+		"limits":   map[string]any{"max_body_bytes": max(gw.maxBodyBytes, 1000)},
 		"tenants":  []any{map[string]any{"name": "org", "api_keys": []string{"key"}}},
 	})
 	assert.NilError(gw.t, err)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/cyclamenpoint/cyclamenpoint/connlimit"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
@@ -28,6 +29,11 @@
 	// maxHeaderBytes is the limit of the HTTP server; the limit in the configuration is
 	// lower.
 	maxHeaderBytes = 64 << 10
+	// unreadBodyTime is how long the body of a refused request may take to arrive. After that
+	// the connection is closed.
+	unreadBodyTime = 500 * time.Millisecond
+	// maxProbeHeaderBytes is the limit for readiness checks, which have few headers.
+	maxProbeHeaderBytes = 8 << 10
 	// defaultTimeout applies to requests without a timeout on routes without one.
 	defaultTimeout = 30 * time.Second
 	// deregistrationTime is how long the platform takes to stop sending connections to
@@ -45,7 +51,10 @@
 
 // listen opens the listeners for callers and for readiness checks.
 func (g *Gateway) listen(ctx context.Context) error {
-	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ready := &http.Server{
+		Handler: connlimit.WithoutBodies(http.HandlerFunc(g.serveReady)), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
+	}
 	callers := &http.Server{
 		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -53,11 +62,21 @@
 	for _, l := range []struct {
 		server  *http.Server
 		address string
-	}{{ready, g.settings.ReadinessAddress}, {callers, g.settings.CallerAddress}} {
+		limits  connlimit.Config
+	}{
+		{ready, g.settings.ReadinessAddress, connlimit.Config{
+			MaxConnections: g.settings.Plan.Probes, MaxHeadBytes: func() int { return maxProbeHeaderBytes }, Memory: g.memory, CountBodies: true, EvictActive: true,
+			OnRefusal: connlimit.NewReporter("readiness", g.log).Refused,
+		}},
+		{callers, g.settings.CallerAddress, connlimit.Config{
+			MaxConnections: g.settings.Plan.Callers, MaxHeadBytes: g.maxHeadBytes, Memory: g.memory, OnRefusal: g.refusals.Refused,
+		}},
+	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return errors.WithStack(err)
 		}
+		listener = connlimit.Listen(listener, l.server, l.limits)
 		g.servers = append(g.servers, l.server)
 		g.listeners = append(g.listeners, listener)
 		g.runInBackground(ctx, func(context.Context) {
@@ -69,6 +88,17 @@
 	return nil
 }
 
+// maxHeadBytes returns the limit of the configuration for a request's head. Without one it is
+// the limit of the server.
+func (g *Gateway) maxHeadBytes() int {
+	if table := g.table.Load(); table != nil {
+		if limit := table.Limits().MaxHeaderBytes; limit > 0 {
+			return min(limit, maxHeaderBytes)
+		}
+	}
+	return maxHeaderBytes
+}
+
 // serveReady handles a readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
@@ -84,7 +114,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req, p := g.decodeRequest(w, r, arrived)
+	req, body, p := g.decodeRequest(w, r, arrived)
+	defer body.release()
 	if p == nil && g.closing.Load() {
 		// A connection that was accepted before may bring a request at any later time.
 		p = &problem.Problem{Kind: problem.Draining, RequestID: req.ID, RetryAfter: stoppingRetryAfter}
@@ -101,6 +132,9 @@
 			panic(http.ErrAbortHandler)
 		}
 	} else {
+		if r.ContentLength != 0 {
+			connlimit.LeaveBody(w, unreadBodyTime)
+		}
 		g.log.Warn("request refused", "request", p.RequestID, "problem", p.Kind.Name, "detail", p.Detail, "retry_after_ms", p.RetryAfter.Milliseconds())
 	}
 	if p != nil {
@@ -128,38 +162,38 @@
 }
 
 // decodeRequest validates a caller's request, matches it to a route and reads its body.
-func (g *Gateway) decodeRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*forward.Request, *problem.Problem) {
+func (g *Gateway) decodeRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*forward.Request, body, *problem.Problem) {
 	caller, err := g.protocol.DecodeCaller(r.Header)
 	if err != nil {
-		return nil, &problem.Problem{Kind: problem.BadRequest, RequestID: caller.ID, Detail: err.Error()}
+		return nil, body{}, &problem.Problem{Kind: problem.BadRequest, RequestID: caller.ID, Detail: err.Error()}
 	}
 	if len(caller.InvalidHeaders) > 0 {
 		g.log.Warn("invalid headers, size of the request is unknown", "request", caller.ID, "headers", caller.InvalidHeaders)
 	}
 	table := g.table.Load()
 	if table == nil {
-		return nil, &problem.Problem{Kind: problem.NotReady, RequestID: caller.ID, Detail: "no configuration yet", RetryAfter: startRetryAfter}
+		return nil, body{}, &problem.Problem{Kind: problem.NotReady, RequestID: caller.ID, Detail: "no configuration yet", RetryAfter: startRetryAfter}
 	}
 	match, err := table.Lookup(r.Host, r.URL.EscapedPath(), caller.Key, caller.ID)
 	if err != nil {
-		return nil, g.deniedProblem(caller.ID, err)
+		return nil, body{}, g.deniedProblem(caller.ID, err)
 	}
-	body, p := readBody(w, r, caller.ID, table.Limits().MaxBodyBytes)
+	body, p := g.readBody(w, r, caller.ID, table.Limits().MaxBodyBytes)
 	if p != nil {
-		return nil, p
+		return nil, body, p
 	}
 	return &forward.Request{
 		ID: caller.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host,
-		Header: g.protocol.ForwardedHeaders(r.Header), Body: body, Match: match,
+		Header: g.protocol.ForwardedHeaders(r.Header), Body: body.first, Rest: body.rest, Match: match, Caller: connlimit.Caller(r.Context()),
 		Arrived: arrived, Deadline: arrived.Add(effectiveTimeout(caller.Timeout, match.Route.Timeout)),
 		LastEvent: caller.LastEvent, PromptTokens: caller.PromptTokens, AnswerTokens: caller.answerTokens(),
 		PromptParts: caller.PromptParts, Identity: requestIdentity(r, match, body, caller.PromptParts),
-	}, nil
+	}, body, nil
 }
 
 // requestIdentity returns what identifies a request around crashes of endpoints.
-func requestIdentity(r *http.Request, match route.Match, body []byte, parts []string) *quarantine.Request {
-	content := quarantine.Content{Service: match.Service.Name, Method: r.Method, Path: r.RequestURI, Body: body}
+func requestIdentity(r *http.Request, match route.Match, body body, parts []string) *quarantine.Request {
+	content := quarantine.Content{Service: match.Service.Name, Method: r.Method, Path: r.RequestURI, Body: body.first, Rest: body.rest}
 	if match.Organisation != nil {
 		content.Organisation = match.Organisation.Name
 	}
@@ -199,30 +233,27 @@
 	return p
 }
 
-// readBody reads the body of a request up to limit bytes; zero means no limit.
-func readBody(w http.ResponseWriter, r *http.Request, id string, limit int64) ([]byte, *problem.Problem) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(r.Body)
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &problem.Problem{Kind: problem.TooLarge, RequestID: id, Detail: err.Error()}
-	}
-	return nil, &problem.Problem{Kind: problem.BadRequest, RequestID: id, Detail: "body: " + err.Error()}
-}
-
 // responseSink is a forward.Sink that writes to an http.ResponseWriter.
 type responseSink struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	headSent   bool
+	// aborted is true if the answer must not be written any further.
+	aborted atomic.Bool
+}
+
+// AbortedError reports that the answer to a caller that does not read was aborted.
+type AbortedError struct{}
+
+// Error implements error.
+func (*AbortedError) Error() string { return "the caller does not read" }
+
+// Abort ends the current and all further writes. It is called while others wait for the
+// memory of the answer.
+func (s *responseSink) Abort() {
+	s.aborted.Store(true)
+	// This fails only if the connection is closed.
+	_ = s.controller.SetWriteDeadline(time.Unix(1, 0))
 }
 
 // Head implements forward.Sink.
@@ -245,6 +276,10 @@
 	if err := s.controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	if s.aborted.Load() {
+		// Abort may have come before the deadline was set.
+		return &AbortedError{}
+	}
 	_, err := s.w.Write(p)
 	return err
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -15,6 +15,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
@@ -44,12 +45,21 @@
 	maxDatagramBytes = 16 << 10
 	// maxCopiesBytes bounds a peer's response with copies.
 	maxCopiesBytes = 8 << 20
+	// maxCopiesSent bounds the responses with copies that are sent at the same time. A peer
+	// that does not read occupies one for requestTimeout at most.
+	maxCopiesSent = 8
 	// MaxHeadBytes bounds the head of a peer's response or request.
 	MaxHeadBytes = 16 << 10
 	// copiesPath is the path that serves copies of the store's tables to peers.
 	copiesPath = "/copies"
 	// headerTimeout bounds the reading of a request's headers.
 	headerTimeout = 2 * time.Second
+	// requestTimeout bounds the reading of a request and the writing of its response. It
+	// exceeds the time for which handlers work on a request, 8 s.
+	requestTimeout = 10 * time.Second
+	// idleTimeout is how long a connection from a peer stays idle. Peers with connections
+	// that they use again send on them much more often.
+	idleTimeout = 30 * time.Second
 )
 
 // Gossiper exchanges load reports and copies of tables with the other processes.
@@ -66,6 +76,9 @@
 	client     *http.Client
 	mux        *http.ServeMux
 	socket     *net.UDPConn
+	limit      ListenerLimit
+	// copiesSent limits the responses with copies that are encoded at the same time.
+	copiesSent *semaphore.Weighted
 
 	mu sync.Mutex
 	// behindSince is the time at which a peer first reported a newer copy of a
@@ -78,6 +91,9 @@
 	lastSequence map[string]uint64
 }
 
+// ListenerLimit limits the connections of a listener that a server is to serve.
+type ListenerLimit func(net.Listener, *http.Server) net.Listener
+
 // NewGossiper returns a Gossiper that listens at address once it runs. onLoads is
 // called with each load report that arrives.
 func NewGossiper(address string, seeds []string, registry *Registry, followers []*follow.Follower, log *slog.Logger, onLoads func([]Load)) *Gossiper {
@@ -85,7 +101,7 @@
 		address: address, seeds: seeds, registry: registry, followers: make(map[string]*follow.Follower), log: log, onLoads: onLoads,
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: MaxHeadBytes}},
 		mux:    http.NewServeMux(), behindSince: make(map[string]time.Time), newerPeer: make(map[string]string), lastSequence: make(map[string]uint64),
-		sequence: rand.Uint64() << startIDShift,
+		sequence: rand.Uint64() << startIDShift, copiesSent: semaphore.NewWeighted(maxCopiesSent),
 	}
 	for _, f := range followers {
 		g.followers[f.Table()] = f
@@ -98,6 +114,9 @@
 // Handle adds an HTTP handler for peers. It must be called before Run.
 func (g *Gossiper) Handle(path string, h http.HandlerFunc) { g.mux.HandleFunc(path, h) }
 
+// LimitConnections sets the limit of connections from peers. It must be called before Run.
+func (g *Gossiper) LimitConnections(limit ListenerLimit) { g.limit = limit }
+
 // OnDatagram sets a function that is called with every datagram received. It must
 // be called before Run.
 func (g *Gossiper) OnDatagram(handle func(Datagram)) { g.onDatagram = handle }
@@ -134,7 +153,13 @@
 	g.mu.Lock()
 	g.socket = socket
 	g.mu.Unlock()
-	server := &http.Server{Handler: g.mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: MaxHeadBytes}
+	server := &http.Server{
+		Handler: g.mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: MaxHeadBytes,
+	}
+	if g.limit != nil {
+		listener = g.limit(listener, server)
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -483,6 +508,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := g.copiesSent.Acquire(r.Context(), 1); err != nil {
+		// The peer has disconnected.
+		return
+	}
+	defer g.copiesSent.Release(1)
 	newer := make(map[string]follow.Copy)
 	for table, f := range g.followers {
 		if c := f.Current(); c.Changed > known[table] {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -19,10 +19,14 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenpoint/cyclamenpoint/asynclog"
+	"github.com/cyclamenpoint/cyclamenpoint/connlimit"
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
+	"github.com/cyclamenpoint/cyclamenpoint/gossip"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/metric"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/rankgroup"
+	"github.com/cyclamenpoint/cyclamenpoint/resource"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 )
 
@@ -50,39 +54,68 @@
 // bytes without end.
 const maxHeadBytes = 16 << 10
 
-// initProcess sets the garbage collection target, loads the settings, opens the log
+// initProcess sets the limits of the garbage collector, loads the settings, opens the log
 // and starts to serve the metrics. The returned function closes the log.
-func initProcess(out io.Writer, process string) (*platform.Settings, *slog.Logger, func(), error) {
+func initProcess(out io.Writer, process string) (*processEnv, func(), error) {
 	debug.SetGCPercent(gcPercent)
 	s, err := platform.LoadSettings()
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, err
+	}
+	env := &processEnv{settings: s, plan: resource.NewPlan(s.Limits.MemoryBytes, s.Limits.MaxDescriptors, connlimit.ConnectionBytes)}
+	env.memory = membudget.New(membudget.DefaultConfig(env.plan.RequestBytes))
+	if s.Limits.MemoryBytes > 0 {
+		debug.SetMemoryLimit(env.plan.SoftLimitBytes)
 	}
 	log, closeLog := asynclog.New(out, slog.LevelInfo)
 	log = log.With("node", s.Node)
 	klog.SetSlogLogger(log)
-	serveMetrics(s.Address.String(), log)
-	log.Info("starting", "process", process, "pid", os.Getpid(), "failure_domain", s.FailureDomain, "address", s.Address.String(), "store", s.StoreAddress)
-	return s, log, closeLog, nil
+	env.log = log
+	env.serveMetrics()
+	log.Info("starting", "process", process, "pid", os.Getpid(), "failure_domain", s.FailureDomain, "address", s.Address.String(), "store", s.StoreAddress,
+		"memory_bytes", s.Limits.MemoryBytes, "caller_memory_bytes", env.plan.RequestBytes, "caller_connections", env.plan.Callers)
+	return env, closeLog, nil
+}
+
+// processEnv is what the two kinds of process have in common.
+type processEnv struct {
+	settings *platform.Settings
+	log      *slog.Logger
+	// plan holds the limits of connections, memory the budget for what clients of all
+	// listeners send.
+	plan   resource.Plan
+	memory *membudget.Budget
 }
 
 // serveMetrics serves the metrics of the process at an IP address of the VM. A
 // failure is only logged, because the process can work without them.
-func serveMetrics(ip string, log *slog.Logger) {
-	listener, err := net.Listen("tcp", metric.Address(ip))
+func (e *processEnv) serveMetrics() {
+	listener, err := net.Listen("tcp", metric.Address(e.settings.Address.String()))
 	if err != nil {
-		log.Warn("cannot serve metrics", "error", err.Error())
+		e.log.Warn("cannot serve metrics", "error", err.Error())
 		return
 	}
-	server := &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: metricsHeaderTimeout}
+	server := &http.Server{
+		Handler: connlimit.WithoutBodies(metric.Handler()), ReadHeaderTimeout: metricsHeaderTimeout, ReadTimeout: metricsHeaderTimeout, WriteTimeout: metricsWriteTimeout,
+		IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: maxMetricsHeadBytes,
+	}
+	listener = connlimit.Limiter("metrics", e.plan.Probes, maxMetricsHeadBytes, e.memory, e.log)(listener, server)
 	go func() {
 		err := server.Serve(listener)
-		log.Warn("metrics server stopped", "error", err.Error())
+		e.log.Warn("metrics server stopped", "error", err.Error())
 	}()
 }
 
-// metricsHeaderTimeout limits the time to read the headers of a metrics request.
-const metricsHeaderTimeout = 2 * time.Second
+const (
+	// metricsHeaderTimeout limits the time to read a metrics request, metricsWriteTimeout
+	// that to write the answer.
+	metricsHeaderTimeout = 2 * time.Second
+	metricsWriteTimeout  = 10 * time.Second
+	// metricsIdleTimeout exceeds the usual time between two readings of the metrics.
+	metricsIdleTimeout = 90 * time.Second
+	// maxMetricsHeadBytes limits the head of a metrics request.
+	maxMetricsHeadBytes = 8 << 10
+)
 
 // peerAddress returns the address at which other processes of the system reach the
 // process with the given port offset.
@@ -111,15 +144,16 @@
 // RunGateway runs a gateway until SIGTERM or SIGINT. It returns an error if the
 // settings are invalid or the gateway cannot listen at its addresses.
 func RunGateway(out io.Writer) error {
-	s, log, closeLog, err := initProcess(out, "gateway")
+	env, closeLog, err := initProcess(out, "gateway")
 	if err != nil {
 		return err
 	}
 	defer closeLog()
+	s, log := env.settings, env.log
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	store := platform.NewStore(s.StoreAddress, storeTransport())
-	g, err := gateway.Start(gatewaySettings(s), platform.Protocol{}, store, log)
+	g, err := gateway.Start(env.gatewaySettings(), platform.Protocol{}, store, log)
 	if err != nil {
 		log.Error("cannot start the gateway", "error", err.Error())
 		return err
@@ -129,7 +163,8 @@
 	return nil
 }
 
-func gatewaySettings(s *platform.Settings) gateway.Settings {
+func (e *processEnv) gatewaySettings() gateway.Settings {
+	s := e.settings
 	return gateway.Settings{
 		Node: s.Node, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress,
 		PeerAddress: peerAddress(s, gatewayPortOffset), Seeds: seeds(s),
@@ -137,6 +172,7 @@
 		FirstStart:   s.FirstStart,
 		RelistPeriod: s.Bounds.RelistPeriod, GracePeriod: s.Bounds.GracePeriod,
 		Budget: retry.WindowConfig{Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve, Period: s.Bounds.RetryWindow},
+		Plan:   e.plan, Memory: e.memory,
 	}
 }
 
@@ -158,11 +194,12 @@
 
 // RunAgent runs the agent beside an endpoint until SIGTERM or SIGINT.
 func RunAgent(out io.Writer) error {
-	s, log, closeLog, err := initProcess(out, "agent")
+	env, closeLog, err := initProcess(out, "agent")
 	if err != nil {
 		return err
 	}
 	defer closeLog()
+	s, log := env.settings, env.log
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,7 +208,9 @@
 	agent := rankgroup.NewAgent(rankgroup.Settings{
 		Node: s.Node, FailureDomain: s.FailureDomain, PeerAddress: peerAddress(s, agentPortOffset), Seeds: seeds(s), Endpoint: s.EndpointAddress,
 		ConfigTable: platform.TableConfig, NodesTable: platform.TableNodes, Service: s.Service,
+		LimitPeers: connlimit.Limiter("peers", env.plan.Peers, gossip.MaxHeadBytes, env.memory, log),
 	}, platform.NewEngine(s.EndpointAddress, transport), newEngine, platform.NewStore(s.StoreAddress, storeTransport()), platform.Protocol{}.DecodeConfig, log)
+	go env.memory.Run(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -54,6 +54,7 @@
 	Quarantined            = Kind{"quarantined", "Requests with this content crash endpoints", http.StatusUnprocessableEntity, Refused}
 	CrashesEndpoints       = Kind{"crashes-endpoints", "Requests like this one crash endpoints", http.StatusServiceUnavailable, NotRun}
 	NoCapacity             = Kind{"no-capacity", "No endpoint has room", http.StatusServiceUnavailable, NotRun}
+	Overloaded             = Kind{"overloaded", "The node has no memory for the request", http.StatusServiceUnavailable, NotRun}
 	Draining               = Kind{"draining", "The node is stopping", http.StatusServiceUnavailable, NotRun}
 	NotReady               = Kind{"not-ready", "The node is not ready", http.StatusServiceUnavailable, NotRun}
 	StoreDown              = Kind{"store-down", "The claim could not be made durable", http.StatusServiceUnavailable, NotRun}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -26,6 +27,8 @@
 	Method  string
 	Path    string
 	Body    []byte
+	// Rest holds the further pieces of a body that is not in one piece.
+	Rest [][]byte
 }
 
 // FingerprintOf returns the fingerprint of a content.
@@ -35,10 +38,34 @@
 		// The length makes the boundaries between fields unambiguous.
 		io.WriteString(h, strconv.Itoa(len(s))+":"+s)
 	}
-	h.Write(normalise(c.Body))
+	c.writeBody(h)
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
+// maxNormalisedBytes is the length from which a body counts as it is. Decoding JSON takes
+// up to fifty times the memory of its text.
+const maxNormalisedBytes = 128 << 10
+
+// writeBody writes the body in the form that counts.
+func (c *Content) writeBody(h io.Writer) {
+	body, size := c.Body, len(c.Body)
+	for _, piece := range c.Rest {
+		size += len(piece)
+	}
+	if size <= maxNormalisedBytes {
+		if len(c.Rest) > 0 {
+			body = slices.Concat(append([][]byte{c.Body}, c.Rest...)...)
+		}
+		// A hash never returns an error.
+		_, _ = h.Write(normalise(body))
+		return
+	}
+	_, _ = h.Write(body)
+	for _, piece := range c.Rest {
+		_, _ = h.Write(piece)
+	}
+}
+
 // partFingerprint returns the fingerprint of a part of a prompt. It does not depend on the
 // organisation: a part crashes an engine whoever sends it.
 func partFingerprint(c Content, id string) Fingerprint {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,6 +130,18 @@
 	}
 }
 
+// TestFingerprintOfPieces guards against a body whose fingerprint depends on the pieces in
+// which it arrived.
+func TestFingerprintOfPieces(t *testing.T) {
+	for _, size := range []int{100, maxNormalisedBytes - 20, maxNormalisedBytes + 1} {
+		body := []byte(`{"user":"u","prompt":"` + strings.Repeat("x", size) + `"}`)
+		whole := FingerprintOf(Content{Body: body})
+		for _, cut := range []int{1, 50, len(body) - 1} {
+			assert.Equal(t, FingerprintOf(Content{Body: body[:cut], Rest: [][]byte{body[cut : cut+1], body[cut+1:]}}), whole)
+		}
+	}
+}
+
 func BenchmarkFingerprintOf(b *testing.B) {
 	body := []byte(`{"model":"m","messages":[{"role":"user","content":"` + string(bytes.Repeat([]byte("word "), 2000)) + `"}]}`)
 	b.SetBytes(int64(len(body)))
--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -65,6 +65,8 @@
 	// Service is the engine's service. If it is empty, the only service with
 	// experts is used.
 	Service string
+	// LimitPeers limits the connections from other processes; nil for no limit.
+	LimitPeers gossip.ListenerLimit
 }
 
 // DecodeConfig decodes the configuration from a copy of the table. It returns
@@ -140,6 +142,7 @@
 		Name: s.Node, Kind: gossip.KindAgent, Address: s.PeerAddress, FailureDomain: s.FailureDomain, Endpoint: s.Endpoint,
 	}, log, func([]gossip.Node) {})
 	a.gossip = gossip.NewGossiper(s.PeerAddress, s.Seeds, a.registry, []*follow.Follower{a.config, a.registry.Follower()}, log, a.storeLoads)
+	a.gossip.LimitConnections(s.LimitPeers)
 	a.gossip.OnDatagram(a.onDatagram)
 	a.gossip.Handle(goalPath, a.serveGoal)
 	a.gossip.Handle(expertsPath, a.serveExperts)
--- a/slowclient/slowclient_test.go
+++ b/slowclient/slowclient_test.go
@@ -172,6 +172,14 @@
 			}
 		}
 	}},
+	// Refused requests whose bodies do not end.
+	"UnreadBodies": {callerAddress, 1500, func(conn net.Conn) {
+		_ = write(conn, strings.Replace(lengthHead(1000), "/safe/x", "/unknown", 1)+"x")
+	}},
+	// Bodies of some bytes that do not end.
+	"SmallBodies": {callerAddress, 1500, func(conn net.Conn) {
+		_ = write(conn, lengthHead(1000)+"x")
+	}},
 	"IdleConnections": {callerAddress, 1500, func(net.Conn) {}},
 	// Connections on which one request was served.
 	"IdleAfterRequest": {callerAddress, 1500, func(conn net.Conn) {
@@ -205,6 +213,8 @@
 func TestChunkExtensions(t *testing.T)        { runLoad(t) }
 func TestTrailers(t *testing.T)               { runLoad(t) }
 func TestSlowReaders(t *testing.T)            { runLoad(t) }
+func TestUnreadBodies(t *testing.T)           { runLoad(t) }
+func TestSmallBodies(t *testing.T)            { runLoad(t) }
 func TestIdleConnections(t *testing.T)        { runLoad(t) }
 func TestIdleAfterRequest(t *testing.T)       { runLoad(t) }
 
@@ -264,6 +274,26 @@
 	}
 }
 
+// TestBodiesOtherPorts guards against unfinished bodies on the ports for readiness checks, peers
+// and metrics that use up the connections or the memory of a gateway.
+func TestBodiesOtherPorts(t *testing.T) {
+	for _, port := range otherPorts {
+		t.Run(port.name, func(t *testing.T) {
+			p := startGateway(t)
+			callers := p.ordinary
+			p.ordinary = func() error {
+				if err := request("http://"+readyAddress+"/v1/ready", ""); err != nil {
+					return err
+				}
+				return callers()
+			}
+			load{port.address, 1500, func(conn net.Conn) {
+				_ = write(conn, strings.Replace(lengthHead(1<<20), "/safe/x", "/copies", 1)+"{") && repeat(conn, strings.Repeat(" ", 32<<10), 16)
+			}}.run(p)
+		})
+	}
+}
+
 // TestHeadsOtherPorts guards against unfinished heads on the ports for readiness checks, peers
 // and metrics that use up the memory of a gateway.
 func TestHeadsOtherPorts(t *testing.T) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -41,6 +41,9 @@
 	Ack time.Duration
 }
 
+// noLimit is the value of Pool.maxOpen for a pool without a limit.
+const noLimit = 0
+
 // ConnectError reports that no connection could be opened. The endpoint has not
 // received the request.
 type ConnectError struct {
@@ -81,8 +84,13 @@
 	timeouts Timeouts
 	dialer   net.Dialer
 
+	// maxOpen is the limit of all connections; noLimit if there is none.
+	maxOpen int
+
 	mu    sync.Mutex
 	hosts map[string]*hostConns
+	// open is the number of all connections.
+	open int
 }
 
 // hostConns holds the connections to one address.
@@ -102,6 +110,10 @@
 	return p
 }
 
+// SetMaxConnections sets the limit of connections to all endpoints together. It must be
+// called before the first Get.
+func (p *Pool) SetMaxConnections(n int) { p.maxOpen = n }
+
 // control sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose
 // peer does not acknowledge data within the Ack timeout.
 func (p *Pool) control(_, _ string, raw syscall.RawConn) error {
@@ -196,8 +208,17 @@
 			return false
 		}
 		oldest, h.idle = h.idle[0], h.idle[1:]
+	} else if p.maxOpen != noLimit && p.open >= p.maxOpen {
+		if oldest = p.popAnyIdle(); oldest == nil {
+			if h.open == 0 {
+				delete(p.hosts, address)
+			}
+			p.mu.Unlock()
+			return false
+		}
 	}
 	h.open++
+	p.open++
 	p.mu.Unlock()
 	if oldest != nil {
 		oldest.Discard()
@@ -205,12 +226,30 @@
 	return true
 }
 
+// popAnyIdle removes and returns the longest idle connection of any endpoint; nil if there
+// is none. The caller holds the lock.
+func (p *Pool) popAnyIdle() *Conn {
+	var from *hostConns
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (from == nil || h.idle[0].expires.Before(from.idle[0].expires)) {
+			from = h
+		}
+	}
+	if from == nil {
+		return nil
+	}
+	c := from.idle[0]
+	from.idle = from.idle[1:]
+	return c
+}
+
 // unreserve decrements the number of connections to address.
 func (p *Pool) unreserve(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
 	h.open--
+	p.open--
 	if h.open == 0 {
 		delete(p.hosts, address)
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -126,6 +126,30 @@
 	assert.Equal(t, len(p.hosts), 0)
 }
 
+// TestTotalLimit guards against connections to many endpoints that use up the descriptors of
+// the process: idle ones of any endpoint are closed to make room, then no more are opened.
+func TestTotalLimit(t *testing.T) {
+	first, second := listen(t, func(net.Conn) {}), listen(t, func(net.Conn) {})
+	p := NewPool(testTimeouts)
+	p.SetMaxConnections(2)
+	a, err := p.Get(context.Background(), first, 0, true)
+	assert.NilError(t, err)
+	b, err := p.Get(context.Background(), first, 0, true)
+	assert.NilError(t, err)
+	var full *ConnectionLimitError
+	_, err = p.Get(context.Background(), second, 0, true)
+	assert.Assert(t, errors.As(err, &full))
+	b.Release(0)
+	c, err := p.Get(context.Background(), second, 0, true)
+	assert.NilError(t, err)
+	_, err = p.Get(context.Background(), first, 0, false)
+	assert.Assert(t, errors.As(err, &full), "the idle connection was closed")
+	a.Discard()
+	c.Discard()
+	assert.Equal(t, len(p.hosts), 0)
+	assert.Equal(t, p.open, 0)
+}
+
 // TestCancelled: the end of the context aborts a pending exchange, but does not
 // affect a connection that has been released.
 func TestCancelled(t *testing.T) {
