connlimit: connections without a request are closed first

Cause: connections that never carry a request could make the idle connections of callers within the limits close, whose next request then fails.

Change: at the limit, the oldest connection without a complete request is closed if it is older than 1 s; else the longest idle one.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -1,6 +1,7 @@
 // Package connlimit bounds the connections of an HTTP server and the memory that unfinished
 // requests take. At the limit of connections, the one that has waited for the end of a
-// request's head for the longest time, idle or not, is closed for a new one. Heads are
+// request's head for the longest time, idle or not, is closed for a new one; those that never
+// carried a request come first. Heads are
 // limited while they arrive: net/http has a limit of its own, but it cannot change while
 // the server runs, and it holds for each connection and not for all together.
 package connlimit
@@ -32,6 +33,9 @@
 	// ConnectionBytes is the memory of an open connection: stacks, and the buffers of
 	// net/http for reading and writing.
 	ConnectionBytes = 20 << 10
+	// newTime is how long a connection without a request counts as new: its first packets
+	// may have been lost and sent again.
+	newTime = time.Second
 	// reclaimTime is how long a new connection waits for one that is being closed, and
 	// reclaimPoll the time between two checks.
 	reclaimTime = 100 * time.Millisecond
@@ -81,9 +85,9 @@
 
 	mu   sync.Mutex
 	open int
-	// oldest and newest are the ends of the list of the connections that wait for the end
-	// of a head, ordered by the time since which they do.
-	oldest, newest *Conn
+	// unused and used are the connections that wait for the end of their first head and of a
+	// later one, ordered by the time since which they do.
+	unused, used connList
 }
 
 // Listen wraps a listener and sets the hooks of the server that is to serve it.
@@ -199,7 +203,7 @@
 		l.mu.Unlock()
 		return true
 	}
-	victim := l.oldest
+	victim := l.victim()
 	if victim == nil {
 		l.mu.Unlock()
 		return false
@@ -239,6 +243,7 @@
 		c.releaseMemory()
 		l.mu.Lock()
 		l.unlist(c)
+		c.hadRequest = true
 		if !c.closed && !c.uncounted {
 			l.list(c)
 		}
@@ -246,10 +251,39 @@
 	}
 }
 
-// list adds a connection as the one that has waited for the shortest time. The caller holds
-// the lock.
+// victim returns the connection to close for a new one; nil if there is none. The caller
+// holds the lock. Connections without any complete request come first, since callers within
+// the limits send one at once, but not those that are so new that their request may be on its
+// way.
+func (l *Listener) victim() *Conn {
+	if c := l.unused.oldest; c != nil && (l.used.oldest == nil || time.Since(c.waitingSince) >= newTime) {
+		return c
+	}
+	return l.used.oldest
+}
+
+// list adds a connection that begins to wait for a head. The caller holds the lock.
 func (l *Listener) list(c *Conn) {
-	c.listed, c.older, c.newer = true, l.newest, nil
+	c.waitingSince = time.Now()
+	if c.hadRequest {
+		l.used.add(c)
+	} else {
+		l.unused.add(c)
+	}
+}
+
+// unlist removes a connection from its list. The caller holds the lock.
+func (l *Listener) unlist(c *Conn) {
+	if c.in != nil {
+		c.in.remove(c)
+	}
+}
+
+// connList is a list of connections, ordered by the time at which they were added.
+type connList struct{ oldest, newest *Conn }
+
+func (l *connList) add(c *Conn) {
+	c.in, c.older, c.newer = l, l.newest, nil
 	if l.newest == nil {
 		l.oldest = c
 	} else {
@@ -258,11 +292,7 @@
 	l.newest = c
 }
 
-// unlist removes a connection from the list. The caller holds the lock.
-func (l *Listener) unlist(c *Conn) {
-	if !c.listed {
-		return
-	}
+func (l *connList) remove(c *Conn) {
 	if c.older == nil {
 		l.oldest = c.newer
 	} else {
@@ -273,7 +303,7 @@
 	} else {
 		c.newer.older = c.older
 	}
-	c.listed, c.older, c.newer = false, nil, nil
+	c.in, c.older, c.newer = nil, nil, nil
 }
 
 // Conn is a connection that a Listener has accepted.
@@ -293,8 +323,13 @@
 	// The fields below are guarded by the lock of the listener. uncounted is true if the
 	// connection no longer counts as open.
 	closed, uncounted bool
-	listed            bool
-	older, newer      *Conn
+	// hadRequest is true if the connection has carried a complete request.
+	hadRequest bool
+	// waitingSince is the time since which the connection waits for the end of a head. in is
+	// the list that holds it; nil if none does.
+	waitingSince time.Time
+	in           *connList
+	older, newer *Conn
 }
 
 // uncount counts a connection as closed. The caller holds the lock of the listener.
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -111,6 +111,31 @@
 	assert.Equal(t, s.listener.Open(), 3)
 }
 
+// TestUnusedFirst guards against callers that open connections without a request and make the
+// idle connections of others close.
+func TestUnusedFirst(t *testing.T) {
+	s := serve(t, Config{MaxConnections: 3})
+	kept := s.dial()
+	assert.Equal(t, s.call(kept, "", ""), 200)
+	unused := []net.Conn{s.dial(), s.dial()}
+	waitUntil(t, "connections are not accepted", func() bool { return s.listener.Open() == 3 })
+	s.listener.mu.Lock()
+	for c := s.listener.unused.oldest; c != nil; c = c.newer {
+		c.waitingSince = c.waitingSince.Add(-newTime)
+	}
+	s.listener.mu.Unlock()
+	for _, conn := range unused {
+		assert.Equal(t, s.call(s.dial(), "", ""), 200)
+		_, err := conn.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+	}
+	assert.Equal(t, s.call(kept, "", ""), 200)
+	// A new connection is not closed for the next one.
+	first, second := s.dial(), s.dial()
+	assert.Equal(t, s.call(first, "", ""), 200)
+	assert.Equal(t, s.call(second, "", ""), 200)
+}
+
 // TestFull guards against a limit that is exceeded when no connection can be closed.
 func TestFull(t *testing.T) {
 	s := serve(t, Config{MaxConnections: 2})
