--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/gateway"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/retry"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
@@ -45,6 +46,10 @@
 	// cold holds the settings for cold endpoints, service further fields of the service.
 	cold    gateway.ColdSettings
 	service map[string]any
+	// memory is the budget for callers; nil for the default one. maxBodyBytes is the limit of
+	// the configuration.
+	memory       *membudget.Budget
+	maxBodyBytes int
 }
 
 // routeConfig is a route of the configuration under test.
@@ -111,7 +116,7 @@
 		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
-		Cold:   gw.cold,
+		Cold:   gw.cold, Memory: gw.memory,
 	}, platform.Protocol{}, platform.NewStore(strings.TrimPrefix(storeURL, "http://"), http.DefaultTransport), log)
 }
 
@@ -121,7 +126,7 @@
 	body, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{service},
-		"limits":   map[string]any{"max_body_bytes": 1000},
+		"limits":   map[string]any{"max_body_bytes": max(gw.maxBodyBytes, 1000)},
 		"tenants":  []any{map[string]any{"name": "org", "api_keys": []string{"key"}}},
 	})
 	assert.NilError(gw.t, err)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -39,6 +39,12 @@
 	return metrics.GetOrCreateCounter(prefix + `cold_limited_total{service="` + service + `",result="` + result + `"}`)
 }
 
+// CallerRefusals returns the counter of connections and requests that a listener refused or
+// closed because of a limit on memory or connections, by cause.
+func CallerRefusals(listener, cause string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(prefix + `connection_refusals_total{listener="` + listener + `",cause="` + cause + `"}`)
+}
+
 // EndpointCrashes returns the counter of crashes of endpoints that this process has noticed
 // by a request of its own.
 func EndpointCrashes(service string) *metrics.Counter {
