placement: the skew is 1 without load estimates

Change: Skew returns 1 without estimates.

Result: TestSkewWithoutEstimates panicked before; placement and rankgroup pass.

--- a/placement/objective.go
+++ b/placement/objective.go
@@ -156,6 +156,10 @@
 // are left out. Experts that no rank holds do not count.
 func Skew(m expertmap.Map, l LoadEstimates, ranks []Rank) float64 {
 	shape := m.Shape()
+	if len(l.Share) == 0 {
+		// Without requests nothing is known about the demand.
+		return 1
+	}
 	alive := float64(countAlive(ranks))
 	total := 0.0
 	for layer := range shape.Layers {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -261,3 +261,12 @@
 		assert.Assert(t, 2*bytes <= int64(len(loads)), "%s: %d bytes of %d", shape, bytes, len(loads))
 	}
 }
+
+// TestSkewWithoutEstimates guards against a leader that panics before the first request: it
+// asks for the skew of the initial map while there are no load estimates.
+func TestSkewWithoutEstimates(t *testing.T) {
+	shape := expertmap.Shape{Layers: 2, Experts: 4, Ranks: 2, Slots: 2}
+	m, err := expertmap.InTurn(shape)
+	assert.NilError(t, err)
+	assert.Equal(t, placement.Skew(m, placement.LoadEstimates{}, make([]placement.Rank, 2)), 1.0)
+}
