--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -166,6 +167,37 @@
 	assert.Assert(t, !crashed.Load(), "%d requests within a second", e.ColdPeak())
 }
 
+// TestColdEndpointBeforeNodesAreKnown guards against a gateway that takes itself for the only
+// one while the store rejects its reads of the table of processes: it sends nothing to a cold
+// endpoint, and its callers are served elsewhere.
+func TestColdEndpointBeforeNodesAreKnown(t *testing.T) {
+	cold, warm := endpoint.New("cold"), endpoint.New("warm")
+	cold.BecomeCold(time.Minute, 0)
+	gw := &testGateway{
+		t: t, store: rowstore.New(), servers: make(map[string]*httptest.Server), grace: 400 * time.Millisecond, node: "n0",
+		cold:    gateway.ColdSettings{Overage: 1.5, Slack: 5},
+		service: map[string]any{"cold_start_s": 60, "cold_per_s": 10},
+	}
+	gw.configure(1, testRoutes())
+	gw.addEndpoint(cold)
+	gw.addEndpoint(warm)
+	gw.listCold(cold, 1, time.Minute)
+	gw.listCold(warm, 1, 0)
+	gw.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == platform.TableNodes {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		gw.store.ServeHTTP(w, r)
+	}))
+	gw.waitReady()
+	time.Sleep(coldSetup)
+	for range 50 {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, 200)
+	}
+	assert.Equal(t, cold.Arrivals(), 0)
+}
+
 // TestOnlyColdEndpoints checks that requests above the bound wait or are refused as not run,
 // with the time until a slot, if no other endpoint is left.
 func TestOnlyColdEndpoints(t *testing.T) {
--- a/pacing/coldslots_test.go
+++ b/pacing/coldslots_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -52,7 +53,9 @@
 type coldNode struct {
 	f    *coldFleet
 	name string
-	list []string
+	// list is that with which its processes start, all that of all running nodes, which
+	// it may get later.
+	list, all []string
 	// rate is the speed of the node's clock.
 	rate  float64
 	slots *ColdSlots
@@ -161,24 +164,25 @@
 			n.life++
 			n.f.at(n.f.now+n.f.random(2*time.Second), n.start)
 		case 2:
-			n.slots.SetNodes(n.list, n.local())
+			n.slots.SetNodes([][]string{n.list, n.all}[n.f.rng.IntN(2)], n.local())
 		}
 		n.disturb()
 	})
 }
 
-// play runs nodes with the given lists for some time.
+// play runs nodes with the given lists for some time. Some are added later.
 func (f *coldFleet) play(lists map[string][]string, length time.Duration) {
-	for _, name := range slices.Sorted(func(yield func(string) bool) {
-		for name := range lists {
-			if !yield(name) {
-				return
-			}
+	all := slices.Sorted(maps.Keys(lists))
+	for _, name := range all {
+		n := &coldNode{f: f, name: name, list: lists[name], all: all, rate: 1 + clockTolerance*(2*f.rng.Float64()-1)}
+		begin := time.Duration(0)
+		if f.rng.IntN(4) == 0 {
+			begin = f.random(5 * time.Second)
 		}
-	}) {
-		n := &coldNode{f: f, name: name, list: lists[name], rate: 1 + clockTolerance*(2*f.rng.Float64()-1)}
-		f.at(0, n.start)
-		f.at(0, n.disturb)
+		f.at(begin, func() {
+			n.start()
+			n.disturb()
+		})
 	}
 	for f.queue.Len() > 0 && f.queue[0].at < length {
 		next := heap.Pop(&f.queue).(event)
@@ -213,8 +217,8 @@
 
 // TestColdBound guards against a cold endpoint that gets more requests within a second than
 // it bears: 1 to 350 nodes with different lists, which lack as many running nodes as is
-// allowed and hold others that do not run, with drifting clocks, freezes, restarts, delayed
-// requests and lost connections.
+// allowed and hold others that do not run, and with nodes that are added, drifting clocks, freezes,
+// restarts, delayed requests and lost connections.
 func TestColdBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		running := names(rapid.SampledFrom(fleetSizes).Draw(t, "nodes"))
@@ -242,7 +246,7 @@
 		}
 		total := 0
 		for name, list := range lists {
-			share := shareOf(name, list, bound)
+			share := max(shareOf(name, list, bound), shareOf(name, running, bound))
 			total += share
 			if got := peak(f.byNode[name]); got > share {
 				t.Fatalf("%d requests within a second from a node with %d slots", got, share)
--- a/pacing/coldstate.go
+++ b/pacing/coldstate.go
@@ -99,7 +99,10 @@
 func (c *ColdStates) Tick(now time.Time) (frozen bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	frozen = !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > freezeGap
+	// The monotonic clock of a VM that was suspended may have stood still, and the wall
+	// clock may have been set back.
+	gap := max(now.Sub(c.tickedAt), now.Round(0).Sub(c.tickedAt.Round(0)))
+	frozen = !c.tickedAt.IsZero() && gap > freezeGap
 	if frozen {
 		c.frozenUntil = now
 	}
