gateway: a test that a domain returns cold after its evacuation

Cause: only the parts of this path had tests: the end of an evacuation, and the limit for endpoints that count as cold.

Change: three gateways, an endpoint whose row says that it is warm, a row evacuate/DOMAIN that is removed while 300 callers wait.

--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -126,6 +126,34 @@
 	callAll(gateways, 4, func() bool { return len(returned.Runs()) < ran+6*coldBound })
 }
 
+// TestEvacuatedDomainReturnsCold guards against an endpoint that crashes because its
+// failure domain is evacuated no more: it is cold, and neither its row nor an answer has said so.
+func TestEvacuatedDomainReturnsCold(t *testing.T) {
+	e, warm := endpoint.New("e"), endpoint.New("warm")
+	// Without the end of the evacuation, all these requests would be sent before the first
+	// answer.
+	e.AnswerDelay = 200 * time.Millisecond
+	gateways := coldGateways(t, 3, e, warm)
+	first := gateways[0]
+	crashed := crashOnOverload(first, e)
+	first.store.Put("servers", e.ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":"d2","slots":1000,"state":"ready","born":1,"cold_remaining_ms":0}`,
+		strings.TrimPrefix(first.servers[e.ID()].URL, "http://"))))
+	time.Sleep(coldSetup)
+	first.store.Put("op", "evacuate/d2", []byte("{}"))
+	time.Sleep(time.Second)
+	for range 20 {
+		assert.Equal(t, first.call("GET", "/safe/1", "").status, 200)
+	}
+	assert.Equal(t, e.Arrivals(), 0)
+	e.BecomeCold(time.Minute, coldBound)
+	first.store.Remove("op", "evacuate/d2")
+	began := time.Now()
+	status := callAll(gateways, 5*coldBound, func() bool { return time.Since(began) < 2*time.Second })
+	assert.Assert(t, !crashed.Load(), "%d requests within a second", e.ColdPeak())
+	assert.Assert(t, e.ColdPeak() > 0)
+	assert.Equal(t, len(status), 1, "%v", status)
+}
+
 // TestEndpointBecomesColdWhileItServes guards against an endpoint that becomes cold without a
 // change of its row: the gateway that gets its answer tells the others before they send many
 // requests.
