entry: limits on memory and connections of callers of the product's own interface

Cause: as for gateways, bodies were kept at up to twice their size without a common limit, and connections were not limited.

Change: an entry node uses the same budget and limits of connections. Their sizes follow from limits.memory_bytes (256 MB) and limits.max_descriptors (4,096) of its settings. A body is charged for the copies that are made of it for an attempt. A write to a caller that does not read fails after 10 s. Reading in pieces moved to membudget, which both use.

Tests: TestDemo plays four loads against the demo; the bounds are the default limits and 64 MB for the other nodes in that process.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -102,11 +101,11 @@
 
 // Limiter returns a function that limits a listener for other processes or operators, whose
 // requests are small.
-func Limiter(name string, maxConnections, maxHeadBytes int, memory *membudget.Budget, log *slog.Logger) func(net.Listener, *http.Server) net.Listener {
+func Limiter(name string, maxConnections, maxHeadBytes int, memory *membudget.Budget, warn Warn) func(net.Listener, *http.Server) net.Listener {
 	return func(inner net.Listener, server *http.Server) net.Listener {
 		return Listen(inner, server, Config{
 			MaxConnections: maxConnections, MaxHeadBytes: func() int { return maxHeadBytes }, Memory: memory, CountBodies: true, EvictActive: true,
-			OnRefusal: NewReporter(name, log).Refused,
+			OnRefusal: NewReporter(name, warn).Refused,
 		})
 	}
 }
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,7 +33,7 @@
 	s := &testServer{t: t, memory: membudget.New(membudget.Config{MaxWait: 10 * time.Millisecond, PressureStall: time.Minute, MaxStall: time.Minute})}
 	cfg.Memory = s.memory
 	cfg.MaxHeadBytes = func() int { return testHeadBytes }
-	cfg.OnRefusal = NewReporter("test", slog.New(slog.DiscardHandler)).Refused
+	cfg.OnRefusal = NewReporter("test", func(string, ...any) {}).Refused
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{MaxHeaderBytes: 64 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/connlimit/report.go
+++ b/connlimit/report.go
@@ -1,7 +1,6 @@
 package connlimit
 
 import (
-	"log/slog"
 	"sync"
 	"time"
 
@@ -12,10 +11,13 @@
 // refused may come thousands of times a second.
 const logInterval = 5 * time.Second
 
+// Warn writes a log line with alternating names and values.
+type Warn func(message string, fields ...any)
+
 // Reporter counts refusals and logs them at a bounded rate.
 type Reporter struct {
 	listener string
-	log      *slog.Logger
+	warn     Warn
 
 	mu     sync.Mutex
 	counts map[string]*refusals
@@ -29,8 +31,8 @@
 }
 
 // NewReporter returns a Reporter for the listener of a name.
-func NewReporter(listener string, log *slog.Logger) *Reporter {
-	return &Reporter{listener: listener, log: log, counts: make(map[string]*refusals)}
+func NewReporter(listener string, warn Warn) *Reporter {
+	return &Reporter{listener: listener, warn: warn, counts: make(map[string]*refusals)}
 }
 
 // Refused records a refusal.
@@ -51,5 +53,5 @@
 	n := c.unlogged
 	c.unlogged, c.loggedAt = 0, now
 	r.mu.Unlock()
-	r.log.Warn("connections refused", "listener", r.listener, "cause", cause, "count", n)
+	r.warn("connections refused", "listener", r.listener, "cause", cause, "count", n)
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -34,8 +34,13 @@
 	return nil
 }
 
+// writeTimeout limits a write to a caller that does not read.
+const writeTimeout = 10 * time.Second
+
 // Data writes a part of the body, or one event of a stream.
 func (a *answer) Data(data []byte) error {
+	// If the connection supports no deadlines, slow callers are not limited.
+	_ = a.rc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if !a.stream {
 		_, err := a.w.Write(data)
 		return errors.Wrap(err, "write to the caller")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -17,10 +18,13 @@
 	"k8s.io/klog/v2"
 
 	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/connlimit"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quota"
+	"github.com/cyclamenpoint/cyclamenpoint/resource"
 )
 
 // Header fields of the callers' interface.
@@ -39,6 +43,10 @@
 	MaxBodyBytes int64 `yaml:"max_body_bytes,omitempty"`
 	// MaxHeaderBytes bounds a request's header.
 	MaxHeaderBytes int `yaml:"max_header_bytes,omitempty"`
+	// MemoryBytes is the memory of the process, of which callers use a part, and
+	// MaxDescriptors the number of its descriptors.
+	MemoryBytes    int64 `yaml:"memory_bytes,omitempty"`
+	MaxDescriptors int   `yaml:"max_descriptors,omitempty"`
 	// HeaderTimeout bounds the time to read a header.
 	HeaderTimeout time.Duration `yaml:"header_timeout,omitempty"`
 	// BodyTimeout bounds the time to read a request's body.
@@ -57,6 +65,8 @@
 	return Limits{
 		MaxBodyBytes:   4 << 20,
 		MaxHeaderBytes: 32 << 10,
+		MemoryBytes:    resource.DefaultMemoryBytes,
+		MaxDescriptors: resource.DefaultDescriptors,
 		HeaderTimeout:  5 * time.Second,
 		BodyTimeout:    30 * time.Second,
 		RequestTimeout: 10 * time.Minute,
@@ -99,12 +109,38 @@
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
 	opts     Options
+	plan     resource.Plan
+	memory   *membudget.Budget
+	refusals *connlimit.Reporter
 	draining atomic.Bool
 	inFlight atomic.Int64
 }
 
 // New returns an Entry.
-func New(opts Options) *Entry { return &Entry{opts: opts} }
+func New(opts Options) *Entry {
+	plan := resource.NewPlan(opts.Limits.MemoryBytes, opts.Limits.MaxDescriptors, connlimit.ConnectionBytes)
+	return &Entry{
+		opts: opts, plan: plan, memory: membudget.New(membudget.DefaultConfig(plan.RequestBytes)),
+		refusals: connlimit.NewReporter("callers", klog.InfoS),
+	}
+}
+
+// Limit limits the connections of a listener for callers that server is to serve, and the
+// memory of their heads.
+func (e *Entry) Limit(listener net.Listener, server *http.Server) net.Listener {
+	return connlimit.Listen(listener, server, connlimit.Config{
+		MaxConnections: e.plan.Callers, MaxHeadBytes: func() int { return e.opts.Limits.MaxHeaderBytes }, Memory: e.memory, OnRefusal: e.refused,
+	})
+}
+
+// refused counts a refusal because of the limits of the process.
+func (e *Entry) refused(cause string) {
+	requestVars.Add("refused-"+cause, 1)
+	e.refusals.Refused(cause)
+}
+
+// RunLimits ends requests that make no progress until the context ends.
+func (e *Entry) RunLimits(ctx context.Context) { e.memory.Run(ctx) }
 
 // InFlight returns the number of requests in flight.
 func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
@@ -119,9 +155,25 @@
 	}
 }
 
+// unreadBodyTime is how long the rest of the body of a refused request may take to arrive.
+// After that the connection is closed.
+const unreadBodyTime = 500 * time.Millisecond
+
+// leaveBodies limits the time for which the server waits for bodies that were not read. It
+// waits after the handler, and limits the time for the next request anew.
+func leaveBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if r.ContentLength != 0 {
+			connlimit.LeaveBody(w, unreadBodyTime)
+		}
+	})
+}
+
 // Handler returns the handler of all paths for callers.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(leaveBodies)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
 	r.Get("/readyz", e.readyz)
 	if e.opts.DebugVars {
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,17 +2,19 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 
 	"github.com/cyclamenpoint/cyclamenpoint/config"
+	"github.com/cyclamenpoint/cyclamenpoint/connlimit"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
 	"github.com/cyclamenpoint/cyclamenpoint/engine"
+	"github.com/cyclamenpoint/cyclamenpoint/membudget"
 	"github.com/cyclamenpoint/cyclamenpoint/problem"
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
 	"github.com/cyclamenpoint/cyclamenpoint/quota"
@@ -40,6 +42,8 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	body     []byte
+	// memory is what is reserved for body.
+	memory *membudget.Reservation
 }
 
 // authenticate identifies the organisation of the caller. If it fails, it
@@ -62,26 +66,63 @@
 	(&problem.Problem{Kind: kind, RequestID: in.id, Detail: detail}).Write(in.w)
 }
 
+// bodyCopies is the number of further copies of a body that are made for an attempt: one
+// without gaps, one of the parts that are decoded, and one that is encoded for the agent.
+const bodyCopies = 3
+
+// memoryRetryAfter is the Retry-After of a request that finds no memory.
+const memoryRetryAfter = time.Second
+
 // readBody reads the body within the limits. If it fails, it answers the
-// request and returns false.
+// request and returns false. Otherwise in.release has to be called.
 func (in *request) readBody() bool {
 	limits := in.entry.opts.Limits
 	rc := http.NewResponseController(in.w)
 	// If the connection supports no deadlines, only the body's size is limited.
 	_ = rc.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(in.w, in.r.Body, limits.MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	in.memory = in.entry.memory.Open(connlimit.Caller(in.r.Context()))
+	in.memory.SetRevocable(func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+	first, rest, err := in.memory.ReadPieces(in.r.Context(), http.MaxBytesReader(in.w, in.r.Body, limits.MaxBodyBytes), in.r.ContentLength)
+	in.memory.SetRevocable(nil)
+	if err == nil && !in.memory.Revoked() {
+		_ = rc.SetReadDeadline(time.Time{})
+		in.body = first
+		if len(rest) > 0 {
+			in.body = slices.Concat(append([][]byte{first}, rest...)...)
+		}
+		in.memory.ForceGrow(bodyCopies * int64(len(in.body)))
+		return true
+	}
+	revoked := in.memory.Revoked()
+	in.release()
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var full *membudget.FullError
+	switch {
+	case revoked:
+		in.failOverloaded("body-stalled", "the body makes no progress")
+	case errors.As(err, &full):
+		in.failOverloaded("body-memory", err.Error())
+	case errors.As(err, &tooLarge):
 		in.fail(problem.TooLarge, "the body is larger than this node takes")
-		return false
-	}
-	if err != nil {
+	default:
 		in.fail(problem.BadRequest, "the body ended early")
-		return false
 	}
-	in.body = body
-	return true
+	return false
+}
+
+// failOverloaded refuses a request because of the memory of the process. It has not run.
+func (in *request) failOverloaded(cause, detail string) {
+	in.entry.refused(cause)
+	requestVars.Add(problem.Overloaded.Name, 1)
+	in.w.Header().Set("Connection", "close")
+	(&problem.Problem{Kind: problem.Overloaded, RequestID: in.id, Detail: detail, RetryAfter: memoryRetryAfter}).Write(in.w)
+}
+
+// release returns the memory of the body.
+func (in *request) release() {
+	if in.memory != nil {
+		in.memory.Release()
+	}
 }
 
 // newDispatchRequest returns the dispatch request with the fields that all
@@ -119,6 +160,7 @@
 	if in == nil || !in.readBody() {
 		return
 	}
+	defer in.release()
 	var body chatBody
 	if err := json.Unmarshal(in.body, &body); err != nil {
 		in.fail(problem.BadRequest, "the body is no chat completion request: "+err.Error())
@@ -173,6 +215,7 @@
 	if !in.checkKey(route, key) || !in.readBody() {
 		return
 	}
+	defer in.release()
 	req := in.newDispatchRequest()
 	req.Service = service.Name
 	req.Path = path
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,11 +13,6 @@
 )
 
 const (
-	// minPieceBytes and maxPieceBytes are the sizes of the first and of the later pieces in
-	// which a body is kept. Memory is reserved for one piece at a time, and a piece is never
-	// copied to a larger one.
-	minPieceBytes = 4 << 10
-	maxPieceBytes = 64 << 10
 	// memoryRetryAfter is the Retry-After of a request that finds no memory: by then those
 	// that make no progress have lost theirs.
 	memoryRetryAfter = time.Second
@@ -62,7 +55,8 @@
 		// This fails only if the connection is closed.
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	})
-	err := b.read(r.Context(), r.Body, r.ContentLength)
+	var err error
+	b.first, b.rest, err = b.memory.ReadPieces(r.Context(), r.Body, r.ContentLength)
 	// Once it is not revocable, the read deadline can no longer end the request.
 	b.memory.SetRevocable(nil)
 	if err == nil && !b.memory.Revoked() {
@@ -87,39 +81,3 @@
 	}
 	return body{}, p
 }
-
-// read reads a body of a length, or of an unknown one if length is -1.
-func (b *body) read(ctx context.Context, source io.Reader, length int64) error {
-	for total := int64(0); ; {
-		size := min(max(total, minPieceBytes), maxPieceBytes)
-		if length >= 0 {
-			// One byte more lets the reader report the end of the body.
-			size = min(size, length-total+1)
-		}
-		if err := b.memory.Grow(ctx, size); err != nil {
-			return err
-		}
-		piece := make([]byte, size)
-		n := 0
-		var err error
-		for n < len(piece) && err == nil {
-			var k int
-			k, err = source.Read(piece[n:])
-			n += k
-			b.memory.Progress(k)
-		}
-		total += int64(n)
-		switch {
-		case b.first == nil:
-			b.first = piece[:n]
-		case n > 0:
-			b.rest = append(b.rest, piece[:n])
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,7 +188,7 @@
 		s.Memory = membudget.New(membudget.DefaultConfig(s.Plan.RequestBytes))
 	}
 	g := &Gateway{
-		settings: s, protocol: protocol, log: log, memory: s.Memory, refusals: connlimit.NewReporter("callers", log),
+		settings: s, protocol: protocol, log: log, memory: s.Memory, refusals: connlimit.NewReporter("callers", log.Warn),
 		loads: outstanding.New(), budgets: forward.NewRetryBudgets(s.Budget), pool: upstream.NewPool(upstreamTimeouts),
 	}
 	g.pool.SetMaxConnections(s.Plan.Endpoints)
@@ -203,7 +203,7 @@
 		Name: s.Node, Kind: gossip.KindEntry, Address: s.PeerAddress, FailureDomain: s.FailureDomain,
 	}, log, g.setNodes)
 	g.gossip = gossip.NewGossiper(s.PeerAddress, s.Seeds, g.registry, []*follow.Follower{g.configFollower, g.endpointsFollower, g.registry.Follower()}, log, g.setLoadReports)
-	g.gossip.LimitConnections(connlimit.Limiter("peers", s.Plan.Peers, gossip.MaxHeadBytes, g.memory, log))
+	g.gossip.LimitConnections(connlimit.Limiter("peers", s.Plan.Peers, gossip.MaxHeadBytes, g.memory, log.Warn))
 	g.notes = newNotes(s.PeerAddress, g.gossip, g.registry, log)
 	g.crashes = newCrashes(s.Node, g.notes, g.loads, log)
 	g.limits = newLimits(g.notes, log)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -66,7 +66,7 @@
 	}{
 		{ready, g.settings.ReadinessAddress, connlimit.Config{
 			MaxConnections: g.settings.Plan.Probes, MaxHeadBytes: func() int { return maxProbeHeaderBytes }, Memory: g.memory, CountBodies: true, EvictActive: true,
-			OnRefusal: connlimit.NewReporter("readiness", g.log).Refused,
+			OnRefusal: connlimit.NewReporter("readiness", g.log.Warn).Refused,
 		}},
 		{callers, g.settings.CallerAddress, connlimit.Config{
 			MaxConnections: g.settings.Plan.Callers, MaxHeadBytes: g.maxHeadBytes, Memory: g.memory, OnRefusal: g.refusals.Refused,
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -99,7 +99,7 @@
 		Handler: connlimit.WithoutBodies(metric.Handler()), ReadHeaderTimeout: metricsHeaderTimeout, ReadTimeout: metricsHeaderTimeout, WriteTimeout: metricsWriteTimeout,
 		IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: maxMetricsHeadBytes,
 	}
-	listener = connlimit.Limiter("metrics", e.plan.Probes, maxMetricsHeadBytes, e.memory, e.log)(listener, server)
+	listener = connlimit.Limiter("metrics", e.plan.Probes, maxMetricsHeadBytes, e.memory, e.log.Warn)(listener, server)
 	go func() {
 		err := server.Serve(listener)
 		e.log.Warn("metrics server stopped", "error", err.Error())
@@ -208,7 +208,7 @@
 	agent := rankgroup.NewAgent(rankgroup.Settings{
 		Node: s.Node, FailureDomain: s.FailureDomain, PeerAddress: peerAddress(s, agentPortOffset), Seeds: seeds(s), Endpoint: s.EndpointAddress,
 		ConfigTable: platform.TableConfig, NodesTable: platform.TableNodes, Service: s.Service,
-		LimitPeers: connlimit.Limiter("peers", env.plan.Peers, gossip.MaxHeadBytes, env.memory, log),
+		LimitPeers: connlimit.Limiter("peers", env.plan.Peers, gossip.MaxHeadBytes, env.memory, log.Warn),
 	}, platform.NewEngine(s.EndpointAddress, transport), newEngine, platform.NewStore(s.StoreAddress, storeTransport()), platform.Protocol{}.DecodeConfig, log)
 	go env.memory.Run(ctx)
 	done := make(chan struct{})
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"time"
 
@@ -101,7 +102,7 @@
 	if err := n.core.start(sockets, service, func(*http.ServeMux) {}); err != nil {
 		return err
 	}
-	callers, err := sockets.listen("callers", s.CallerAddress, n.entry.Server(), servePlain)
+	callers, err := sockets.listen("callers", s.CallerAddress, n.entry.Server(), n.serveCallers)
 	if err != nil {
 		return err
 	}
@@ -113,10 +114,16 @@
 		cancelCore()
 	}
 	n.core.runTask(ctx, routes.Run)
+	n.core.runTask(ctx, n.entry.RunLimits)
 	n.core.runTask(ctx, (&demandReporter{core: n.core, limiter: limiter}).run)
 	return nil
 }
 
+// serveCallers serves callers within the limits of the process.
+func (n *Entry) serveCallers(server *http.Server, socket net.Listener) error {
+	return servePlain(server, n.entry.Limit(socket, server))
+}
+
 // Ready returns "" when the node may serve requests, else the reason why not.
 func (n *Entry) Ready() string { return n.core.Ready() }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,12 @@
 	maxTimeout           = time.Hour
 )
 
+// Least limits of the process: below them a request of 4 MiB does not fit.
+const (
+	minMemoryBytes = 64_000_000
+	minDescriptors = 256
+)
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
 
 // Node holds the settings that all processes have in common.
@@ -260,6 +266,12 @@
 	if l.MaxHeaderBytes < 1 {
 		c.doc.AddFault("limits.max_header_bytes", "a whole number of bytes above 0")
 	}
+	if l.MemoryBytes < minMemoryBytes {
+		c.doc.AddFault("limits.memory_bytes", fmt.Sprintf("a whole number of bytes, at least %d", minMemoryBytes))
+	}
+	if l.MaxDescriptors < minDescriptors {
+		c.doc.AddFault("limits.max_descriptors", fmt.Sprintf("a whole number, at least %d", minDescriptors))
+	}
 	c.timeout("limits.header_timeout", l.HeaderTimeout)
 	c.timeout("limits.body_timeout", l.BodyTimeout)
 	c.timeout("limits.request_timeout", l.RequestTimeout)
--- a/slowclient/process_test.go
+++ b/slowclient/process_test.go
@@ -86,6 +86,9 @@
 	cmd  *exec.Cmd
 	log  string
 	done chan struct{}
+	// maxMemory and maxDescriptors are the limits of the process.
+	maxMemory      int64
+	maxDescriptors int
 	// ordinary sends an ordinary request and returns an error unless it is answered.
 	ordinary func() error
 }
@@ -95,7 +98,7 @@
 	dir := t.TempDir()
 	file := filepath.Join(dir, name+".conf")
 	assert.NilError(t, os.WriteFile(file, []byte(strings.Join(settings, "\n")), 0o600))
-	p := &process{t: t, log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	p := &process{t: t, log: filepath.Join(dir, name+".log"), done: make(chan struct{}), maxMemory: memoryMB * 1e6, maxDescriptors: maxDescriptors - fileDescriptors}
 	log, err := os.Create(p.log)
 	assert.NilError(t, err)
 	p.cmd = exec.Command(filepath.Join(programs, args[0]), args[1:]...)
@@ -175,6 +178,25 @@
 	return p
 }
 
+const (
+	demoAddress = "127.79.0.12:18080"
+	// demoHead is the beginning of a request of the demo's organisation.
+	demoHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer demo-key\r\nContent-Type: application/json\r\n"
+	// demoMemory and demoDescriptors are the default limits of an entry node, with what the
+	// other nodes and the stand-ins of the demo take.
+	demoMemory      = 256e6 + 64e6
+	demoDescriptors = 4096
+)
+
+// startDemo starts the demo and waits until it answers.
+func startDemo(t *testing.T) *process {
+	p := start(t, "demo", nil, "cyclamenpoint", "demo", "--listen", demoAddress)
+	p.maxMemory, p.maxDescriptors = demoMemory, demoDescriptors-fileDescriptors
+	p.ordinary = func() error { return request("http://"+demoAddress+"/readyz", "") }
+	p.waitOrdinary()
+	return p
+}
+
 // request sends a request on a connection of its own and returns an error unless the answer
 // is 200.
 func request(url, body string) error {
@@ -281,8 +303,8 @@
 	p.waitOrdinary()
 	memory := p.peakMemory()
 	p.t.Logf("resident memory at most %d MB, descriptors at most %d", memory/1e6, descriptors)
-	assert.Check(p.t, memory <= memoryMB*1e6, "%d MB of resident memory, limit %d", memory/1e6, memoryMB)
-	assert.Check(p.t, descriptors <= maxDescriptors-fileDescriptors, "%d descriptors, limit %d", descriptors, maxDescriptors-fileDescriptors)
+	assert.Check(p.t, memory <= p.maxMemory, "%d MB of resident memory, limit %d", memory/1e6, p.maxMemory/1e6)
+	assert.Check(p.t, descriptors <= p.maxDescriptors, "%d descriptors, limit %d", descriptors, p.maxDescriptors)
 	select {
 	case <-p.done:
 		p.t.Error("the process has ended")
--- a/slowclient/slowclient_test.go
+++ b/slowclient/slowclient_test.go
@@ -306,6 +306,29 @@
 	}
 }
 
+// demoLoads are the loads on the product's own interface for callers.
+var demoLoads = map[string]load{
+	"WholeBodies": {demoAddress, bodyClients, func(conn net.Conn) {
+		_ = write(conn, demoHead+fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes)+strings.Repeat("x", maxBodyBytes-missingBytes))
+	}},
+	"LargeChunks": {demoAddress, bodyClients, func(conn net.Conn) {
+		_ = write(conn, demoHead+chunkedHead) && repeat(conn, "10000\r\n"+strings.Repeat("x", 1<<16)+"\r\n", 60)
+	}},
+	"UnreadBodies": {demoAddress, 4500, func(conn net.Conn) {
+		_ = write(conn, strings.Replace(demoHead, "Bearer ", "Bearer unknown-", 1)+"Content-Length: 1000\r\n\r\nx")
+	}},
+	"IdleConnections": {demoAddress, 4500, func(net.Conn) {}},
+}
+
+// TestDemo guards against callers of the product's own interface that make an entry node use
+// more memory or descriptors than its default limits. The demo runs other nodes in the same
+// process, so the bounds leave room for them.
+func TestDemo(t *testing.T) {
+	for _, name := range []string{"WholeBodies", "LargeChunks", "UnreadBodies", "IdleConnections"} {
+		t.Run(name, func(t *testing.T) { demoLoads[name].run(startDemo(t)) })
+	}
+}
+
 // TestAgentPorts guards against idle connections and unfinished heads that use up the
 // descriptors or the memory of an agent. Its ordinary request reads its metrics.
 func TestAgentPorts(t *testing.T) {
