connlimit: fuzz target for what callers send; stalled requests end in batches

Cause: with connections exhausted by unfinished bodies, a new connection ended only one of them, so that others waited for each.

Change: 16 at a time. FuzzConnection sends any bytes to a server behind a Listener, and checks that it closes the connection, returns all memory and serves the next request.

--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenpoint/cyclamenpoint/membudget"
@@ -178,6 +179,36 @@
 	waitUntil(t, "memory is not returned", func() bool { return s.memory.Stats().Used == 0 })
 }
 
+// FuzzConnection guards against requests that make the server panic or keep memory, whatever
+// their bytes are.
+func FuzzConnection(f *testing.F) {
+	for _, text := range []string{
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nA: 1\r\n\r\n",
+		"\r\n\r\n\r\n", "GET / HTTP/1.1\r\nA: " + strings.Repeat("a", 2*testHeadBytes),
+		"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("b", 9000) + "GET / HTTP/1.1\r\n",
+	} {
+		f.Add([]byte(text), true)
+		f.Add([]byte(text), false)
+	}
+	f.Fuzz(func(t *testing.T, text []byte, countBodies bool) {
+		s := serve(t, Config{MaxConnections: 2, CountBodies: countBodies})
+		conn := s.dial()
+		// The server may close the connection before it has read all.
+		_, _ = conn.Write(text)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		var timeout net.Error
+		_, err := io.Copy(io.Discard, conn)
+		assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the server does not close the connection")
+		waitUntil(t, "the connection stays open", func() bool { return s.listener.Open() == 0 })
+		waitUntil(t, "memory is not returned", func() bool { return s.memory.Stats().Used == 0 })
+		assert.Equal(t, s.call(s.dial(), "", "body"), 200)
+	})
+}
+
 // TestCountBodies guards against bodies that take memory without a limit on listeners whose
 // handlers do not reserve any.
 func TestCountBodies(t *testing.T) {
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -326,9 +326,13 @@
 // maxRevocations is the number of reservations that are revoked at once at most.
 const maxRevocations = 1 << 20
 
-// RevokeOldest revokes the reservation that has been without progress for the longest time,
-// if that is PressureStall at least. It reports whether there is one.
-func (b *Budget) RevokeOldest() bool { return b.revokeStalled(b.cfg.PressureStall, 1) }
+// revocationBatch is the number of reservations that RevokeOldest revokes. Callers that
+// stall come in great numbers, and one at a time would make others wait long.
+const revocationBatch = 16
+
+// RevokeOldest revokes reservations that have been without progress for the longest time, if
+// that is PressureStall at least. It reports whether there are any.
+func (b *Budget) RevokeOldest() bool { return b.revokeStalled(b.cfg.PressureStall, revocationBatch) }
 
 func (b *Budget) revokeStalled(stall time.Duration, limit int) bool {
 	b.mu.Lock()
