connlimit: one caller has three quarters of the connections at most

Cause: when unfinished bodies or unread answers of one caller held all connections, new connections of other callers were closed at once.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -35,10 +35,16 @@
 	// newTime is how long a connection without a request counts as new: its first packets
 	// may have been lost and sent again.
 	newTime = time.Second
-	// reclaimTime is how long a new connection waits for one that is being closed, and
-	// reclaimPoll the time between two checks.
-	reclaimTime = 100 * time.Millisecond
-	reclaimPoll = 5 * time.Millisecond
+	// callerShare is the share of the connections that one caller may have. It suffices if
+	// all callers share one address.
+	callerShare = 0.75
+	// reclaimTime is how long a new connection waits for the end of another one. It exceeds
+	// the time after which requests without progress end, so that they all do. A caller that
+	// has its share waits for shareReclaimTime, and only if a request is just being ended.
+	// reclaimPoll is the time between two checks.
+	reclaimTime      = membudget.DefaultPressureStall + 100*time.Millisecond
+	shareReclaimTime = 50 * time.Millisecond
+	reclaimPoll      = 5 * time.Millisecond
 	// refusalTime limits the writing of a refusal to a caller that does not read.
 	refusalTime = 100 * time.Millisecond
 )
@@ -82,8 +88,10 @@
 	net.Listener
 	cfg Config
 
-	mu   sync.Mutex
-	open int
+	mu sync.Mutex
+	// open is the number of open connections, byCaller that of each caller that has any.
+	open     int
+	byCaller map[netip.Addr]int
 	// unused and used are the connections that wait for the end of their first head and of a
 	// later one, ordered by the time since which they do.
 	unused, used connList
@@ -91,7 +99,7 @@
 
 // Listen wraps a listener and sets the hooks of the server that is to serve it.
 func Listen(inner net.Listener, server *http.Server, cfg Config) *Listener {
-	l := &Listener{Listener: inner, cfg: cfg}
+	l := &Listener{Listener: inner, cfg: cfg, byCaller: make(map[netip.Addr]int)}
 	server.ConnState = l.connState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, contextKey{}, c)
@@ -154,11 +162,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.admit() {
-			c := &Conn{Conn: raw, listener: l}
-			if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
-				c.caller = tcp.AddrPort().Addr()
-			}
+		c := &Conn{Conn: raw, listener: l}
+		if tcp, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+			c.caller = tcp.AddrPort().Addr()
+		}
+		if l.admit(c.caller) {
 			l.mu.Lock()
 			l.list(c)
 			l.mu.Unlock()
@@ -176,33 +184,56 @@
 	}
 }
 
-// admit counts a new connection, and closes another one at the limit. It returns false if
-// none can be closed.
-func (l *Listener) admit() bool {
-	if l.tryAdmit() {
+// admit counts a new connection of a caller, and closes another one at the limit. It returns
+// false if none can be closed in time.
+func (l *Listener) admit(caller netip.Addr) bool {
+	if l.tryAdmit(caller) {
 		return true
 	}
-	if !l.cfg.Memory.RevokeOldest() {
-		return false
-	}
-	// The handler of a revoked request answers it before its connection is closed.
-	for range reclaimTime / reclaimPoll {
+	began := time.Now()
+	for revoked := false; ; {
+		revoked = l.cfg.Memory.RevokeOldest() || revoked
+		limit := reclaimTime
+		if l.mustYield(caller) {
+			// Connections of other callers must not wait for this one, unless its turn is
+			// near: the handlers of revoked requests answer them at once.
+			limit = 0
+			if revoked {
+				limit = shareReclaimTime
+			}
+		}
+		if time.Since(began) >= limit {
+			return false
+		}
 		time.Sleep(reclaimPoll)
-		if l.tryAdmit() {
+		if l.tryAdmit(caller) {
 			return true
 		}
 	}
-	return false
 }
 
-func (l *Listener) tryAdmit() bool {
+// mustYield reports whether a caller has its share of connections while there are others.
+func (l *Listener) mustYield(caller netip.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.byCaller) > 1 && l.hasShare(caller)
+}
+
+// hasShare reports whether a caller has all connections that it may have. The caller of the
+// method holds the lock.
+func (l *Listener) hasShare(caller netip.Addr) bool {
+	return float64(l.byCaller[caller]) >= callerShare*float64(l.cfg.MaxConnections)
+}
+
+func (l *Listener) tryAdmit(caller netip.Addr) bool {
 	l.mu.Lock()
-	if l.open < l.cfg.MaxConnections {
-		l.open++
+	over := l.hasShare(caller)
+	if l.open < l.cfg.MaxConnections && !over {
+		l.countOpen(caller, 1)
 		l.mu.Unlock()
 		return true
 	}
-	victim := l.victim()
+	victim := l.victim(caller, over)
 	if victim == nil {
 		l.mu.Unlock()
 		return false
@@ -210,7 +241,7 @@
 	l.unlist(victim)
 	// The server closes the connection too, after its read has failed.
 	victim.uncount()
-	l.open++
+	l.countOpen(caller, 1)
 	l.mu.Unlock()
 	l.refused(CauseEvicted)
 	// An error means that the caller has closed the connection.
@@ -218,6 +249,15 @@
 	return true
 }
 
+// countOpen adds n to the number of open connections of a caller. The caller of the method
+// holds the lock.
+func (l *Listener) countOpen(caller netip.Addr, n int) {
+	l.open += n
+	if l.byCaller[caller] += n; l.byCaller[caller] == 0 {
+		delete(l.byCaller, caller)
+	}
+}
+
 // connState is the hook of http.Server. The server reports a connection as active after it
 // has read the head of a request, and as idle after it has answered the request.
 func (l *Listener) connState(nc net.Conn, state http.ConnState) {
@@ -250,15 +290,27 @@
 	}
 }
 
-// victim returns the connection to close for a new one; nil if there is none. The caller
-// holds the lock. Connections without any complete request come first, since callers within
-// the limits send one at once, but not those that are so new that their request may be on its
-// way.
-func (l *Listener) victim() *Conn {
-	if c := l.unused.oldest; c != nil && (l.used.oldest == nil || time.Since(c.waitingSince) >= newTime) {
-		return c
+// victim returns the connection to close for a new one of a caller; nil if there is none. With
+// own it is one of the same caller. The caller of the method holds the lock. Connections
+// without any complete request come first, since callers within the limits send one at once,
+// but not those that are so new that their request may be on its way.
+func (l *Listener) victim(caller netip.Addr, own bool) *Conn {
+	unused, used := l.unused.oldest, l.used.oldest
+	if own {
+		unused, used = unused.orNewer(caller), used.orNewer(caller)
+	}
+	if unused != nil && (used == nil || time.Since(unused.waitingSince) >= newTime) {
+		return unused
+	}
+	return used
+}
+
+// orNewer returns the connection, or the next newer one in its list that is of a caller.
+func (c *Conn) orNewer(caller netip.Addr) *Conn {
+	for c != nil && c.caller != caller {
+		c = c.newer
 	}
-	return l.used.oldest
+	return c
 }
 
 // list adds a connection that begins to wait for a head. The caller holds the lock.
@@ -335,7 +387,7 @@
 func (c *Conn) uncount() {
 	if !c.uncounted {
 		c.uncounted = true
-		c.listener.open--
+		c.listener.countOpen(c.caller, -1)
 	}
 }
 
--- a/slowclient/process_test.go
+++ b/slowclient/process_test.go
@@ -19,6 +19,9 @@
 
 	"gotest.tools/v3/assert"
 
+	// The programs under test consist of this package. The import makes the results of the
+	// tests out of date whenever the programs change.
+	_ "github.com/cyclamenpoint/cyclamenpoint/command"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/rowstore"
 )
