slowclient: each run has loopback addresses of its own

Cause: two runs at the same time on one machine used the same addresses. The second one's gateway could not listen and ended, and its first tests failed ("the process has ended").

Change: the addresses are in a network that follows from the process id.

--- a/slowclient/process_test.go
+++ b/slowclient/process_test.go
@@ -45,18 +45,21 @@
 // buffers of a connection hold.
 const longAnswerBytes = 3 << 20
 
-// Addresses of the processes on loopback. The metrics port is fixed, so each kind of process
-// has an IP address of its own.
-const (
-	gatewayIP       = "127.79.0.10"
-	agentIP         = "127.79.0.11"
+// Addresses of the processes on loopback. Each run of the tests has a network of its own, so
+// that several can run on one machine. The metrics port is fixed, so each kind of process has
+// an IP address of its own.
+var (
+	network         = fmt.Sprintf("127.%d.%d.", 100+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+	gatewayIP       = network + "10"
+	agentIP         = network + "11"
+	demoAddress     = network + "12:18080"
+	ordinaryAddress = network + "20"
 	callerAddress   = gatewayIP + ":8227"
 	readyAddress    = gatewayIP + ":8220"
 	peerAddress     = gatewayIP + ":7340"
 	metricsAddress  = gatewayIP + ":9464"
 	agentPeer       = agentIP + ":7341"
 	agentMetrics    = agentIP + ":9464"
-	ordinaryAddress = "127.79.1.1"
 )
 
 // programs is the directory of the built programs.
@@ -182,7 +185,6 @@
 }
 
 const (
-	demoAddress = "127.79.0.12:18080"
 	// demoHead is the beginning of a request of the demo's organisation.
 	demoHead = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer demo-key\r\nContent-Type: application/json\r\n"
 	// demoMemory and demoDescriptors are the default limits of an entry node, with what the
