command: evacuation of a failure domain on the product's own interface

Cause: the product's own interface had drain and undrain, which replace weights, so the end of an evacuation lost the weight that a domain had before, and nothing showed which entry nodes had applied it. A request without any endpoint was refused without a Retry-After.

Change: the configuration has a list of evacuated failure domains. "evacuation request" and "evacuation withdraw" hand over the configuration in force with the change, and again on top of another one that was accepted first; "evacuation show" prints the list and the entry nodes that work by it. The picker gives endpoints of evacuated domains the weight 0, trials of suspects choose among the other endpoints, and entry nodes log begin and end. A request without an endpoint is refused with Retry-After 1 s. The list is left out while it is empty, so existing configurations keep their hash.

Tests: TestCandidatesAreEligible draws evacuated domains too, so its rule is stricter. The first form of TestEvacuation failed: the command did not wait for the version that had won, and "nothing to change" was printed by a node that was behind; now each change is applied.

--- a/command/command.go
+++ b/command/command.go
@@ -116,6 +116,12 @@
 		{"diff", "Compare a file with the configuration in force", "Lists what would change if the file were handed over.", &diffCommand{streams: s}},
 		{"schema", "Print the JSON Schema of a configuration", "Prints the JSON Schema of a configuration, for programs in any language.", &schemaCommand{streams: s}},
 	})
+	group, _ = parser.AddCommand("evacuation", "Take a failure domain out of use", "Takes the endpoints of a failure domain out of use and shows which nodes have applied it.", &struct{}{})
+	addCommands(group, []subcommand{
+		{"request", "Send no more requests to a failure domain", "Hands over the configuration in force with the failure domain evacuated; requests in flight continue.", &evacuateCommand{streams: s}},
+		{"withdraw", "End the evacuation of a failure domain", "Hands over the configuration in force without the evacuation; weights stay as they are.", &evacuateCommand{streams: s, withdraw: true}},
+		{"show", "Show the evacuated failure domains", "Prints the evacuated failure domains and which entry nodes have applied them.", &showEvacuationsCommand{streams: s}},
+	})
 	group, _ = parser.AddCommand("claims", "List and settle the claims of protected requests", "Lists and settles the claims of protected requests whose outcome is unknown.", &struct{}{})
 	addCommands(group, []subcommand{
 		{"list", "List the claims without an end", "Lists the claims that run or whose outcome is unknown.", &claimsCommand{streams: s}},
--- a/command/config_test.go
+++ b/command/config_test.go
@@ -88,6 +88,7 @@
 		{"no weight in the objective", "{skew: 1, move: 0.5}", "{skew: 0, move: 0}", 13, "groups[0].objective", "above 0"},
 		{"relative path", "path: /orders", "path: orders", 17, "services[0].routes[0].path", "begins with /"},
 		{"answer kept for a repeatable route", "repeat: never", "repeat: always", 17, "services[0].routes[0].keep_answer_seconds", "left out"},
+		{"evacuation without an endpoint", "organisations:", "evacuated: [d9]\norganisations:", 22, "evacuated[0]", "the failure_domain of at least one endpoint"},
 		{"weight without an endpoint", "organisations:", "weights:\n  - {scope: vm, name: v9, percent: 0}\norganisations:", 23, "weights[0].name", "at least one endpoint"},
 	}
 	for _, test := range tests {
--- a/command/operate_test.go
+++ b/command/operate_test.go
@@ -109,8 +109,9 @@
 	assert.Assert(t, strings.Contains(errOut, "no failure_domain called demo-z"), errOut)
 }
 
-// generate makes one short generation request and returns its request ID.
-func (s *testDeployment) generate(t *testing.T) string {
+// send makes one short generation request and returns the answer, whose body the caller
+// closes.
+func (s *testDeployment) send(t *testing.T) *http.Response {
 	t.Helper()
 	body := `{"model":"demo","max_tokens":1,"messages":[{"role":"user","content":"hello"}]}`
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.demo.CallerURLs()[0]+"/v1/chat/completions", strings.NewReader(body))
@@ -118,6 +119,13 @@
 	req.Header.Set("Authorization", "Bearer demo-key")
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
+	return resp
+}
+
+// generate makes one short generation request and returns its request ID.
+func (s *testDeployment) generate(t *testing.T) string {
+	t.Helper()
+	resp := s.send(t)
 	defer resp.Body.Close()
 	var answer struct{ Object string }
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&answer))
--- a/deployment/check.go
+++ b/deployment/check.go
@@ -47,6 +47,7 @@
 	c.ranks()
 	c.organisations()
 	c.weights()
+	c.evacuated()
 }
 
 func (c *checker) fault(path, format string, args ...any) {
@@ -318,6 +319,20 @@
 	}
 }
 
+func (c *checker) evacuated() {
+	seen := make(map[string]bool, len(c.d.Evacuated))
+	for i, domain := range c.d.Evacuated {
+		at := fmt.Sprintf("evacuated[%d]", i)
+		if !c.matchesEndpoint(Weight{Scope: ScopeFailureDomain, Name: domain}) {
+			c.fault(at, "the %s of at least one endpoint", ScopeFailureDomain)
+		}
+		if seen[domain] {
+			c.fault(at, "each %s once", ScopeFailureDomain)
+		}
+		seen[domain] = true
+	}
+}
+
 // matchesEndpoint reports whether the weight applies to any endpoint.
 func (c *checker) matchesEndpoint(w Weight) bool {
 	for i := range c.d.Endpoints {
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -21,6 +21,9 @@
 	Organisations []Organisation `yaml:"organisations" json:"organisations"`
 	// Weights scale the drain weights of all endpoints of a VM or failure domain.
 	Weights []Weight `yaml:"weights,omitempty" json:"weights,omitempty"`
+	// Evacuated names the failure domains whose endpoints get no requests, whatever their
+	// weights.
+	Evacuated []string `yaml:"evacuated,omitempty" json:"evacuated,omitempty"`
 }
 
 // Model is a model that callers name in their requests.
--- a/deployment/drain.go
+++ b/deployment/drain.go
@@ -1,5 +1,7 @@
 package deployment
 
+import "slices"
+
 // ScopeEndpoint selects a single endpoint. It is valid only for WithWeight, not in a
 // configuration.
 const ScopeEndpoint Scope = "endpoint"
@@ -20,6 +22,33 @@
 // endpoint, a VM or a failure domain set to weight, in percent. Errors are
 // *NotFoundError or *strictyaml.FaultsError.
 func (d *Deployment) WithWeight(scope Scope, name string, weight int) (*Deployment, error) {
+	return d.changed(func(next *Deployment) error {
+		if !next.setWeight(scope, name, weight) {
+			return &NotFoundError{Scope: scope, Name: name}
+		}
+		return nil
+	})
+}
+
+// WithEvacuation returns a copy of the configuration in which a failure domain is
+// evacuated, or no longer is. The weights stay as they are. Errors are *NotFoundError or
+// *strictyaml.FaultsError.
+func (d *Deployment) WithEvacuation(domain string, evacuated bool) (*Deployment, error) {
+	return d.changed(func(next *Deployment) error {
+		checker := &checker{d: next}
+		if !checker.matchesEndpoint(Weight{Scope: ScopeFailureDomain, Name: domain}) {
+			return &NotFoundError{Scope: ScopeFailureDomain, Name: domain}
+		}
+		next.Evacuated = slices.DeleteFunc(next.Evacuated, func(other string) bool { return other == domain })
+		if evacuated {
+			next.Evacuated = append(next.Evacuated, domain)
+		}
+		return nil
+	})
+}
+
+// changed returns a checked copy of the configuration after a change.
+func (d *Deployment) changed(change func(next *Deployment) error) (*Deployment, error) {
 	text, err := d.Canonical()
 	if err != nil {
 		return nil, err
@@ -28,8 +57,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if !next.setWeight(scope, name, weight) {
-		return nil, &NotFoundError{Scope: scope, Name: name}
+	if err := change(next); err != nil {
+		return nil, err
 	}
 	text, err = next.Canonical()
 	if err != nil {
--- a/deployment/parse.go
+++ b/deployment/parse.go
@@ -73,6 +73,7 @@
 		}
 		return d.Weights[i].Name < d.Weights[j].Name
 	})
+	sort.Strings(d.Evacuated)
 	for i := range d.Services {
 		normaliseRoutes(d.Services[i].Routes)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -247,9 +247,15 @@
 
 func (d *Dispatcher) noTarget(req *Request, attempts int, err error) *problem.Problem {
 	d.decisions.Add(decision.Dispatch, req.ID, "no endpoint for attempt %d: %s.", attempts, err)
-	return newProblem(problem.NoCapacity, req, err.Error())
+	p := newProblem(problem.NoCapacity, req, err.Error())
+	p.RetryAfter = noTargetRetryAfter
+	return p
 }
 
+// noTargetRetryAfter is the Retry-After of a request for which there is no endpoint: nodes
+// notice within about this time that an endpoint is back.
+const noTargetRetryAfter = time.Second
+
 // waitForRetry waits for the next attempt if the policy allows one, and then returns
 // nil. Otherwise it returns final.
 func (d *Dispatcher) waitForRetry(ctx context.Context, r *requestState, result Result, final *problem.Problem) *problem.Problem {
--- a/operator/document.go
+++ b/operator/document.go
@@ -9,6 +9,7 @@
 	Endpoints     []endpointDoc     `yaml:"endpoints"`
 	Organisations []organisationDoc `yaml:"organisations"`
 	Weights       []weightDoc       `yaml:"weights,omitempty"`
+	Evacuated     []string          `yaml:"evacuated,omitempty"`
 }
 
 type modelDoc struct {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -204,6 +204,12 @@
 	d.doc.Weights = append(d.doc.Weights, weightDoc{Scope: "failure_domain", Name: name, Percent: percent})
 }
 
+// EvacuateFailureDomain takes all endpoints of a failure domain out of use, whatever their
+// weights. Requests in flight continue.
+func (d *Deployment) EvacuateFailureDomain(name string) {
+	d.doc.Evacuated = append(d.doc.Evacuated, name)
+}
+
 // Print writes the configuration as YAML.
 func (d *Deployment) Print(w io.Writer) error {
 	var out bytes.Buffer
--- a/picker/eligible_test.go
+++ b/picker/eligible_test.go
@@ -21,12 +21,12 @@
 }
 
 // referenceEligible is a simple implementation of the rule for eligible endpoints: no
-// drained, leaving or tried endpoint, and an unhealthy one only if more than half of
+// drained, evacuated, leaving or tried endpoint, and an unhealthy one only if more than half of
 // the active endpoints look unhealthy.
 func referenceEligible(d *deployment.Deployment, states map[string]picker.State, tried []string) map[string]bool {
 	active, unhealthy := 0, 0
 	isActive := func(e *deployment.Endpoint) bool {
-		return e.Weight > 0 && states[e.Name].Health != picker.HealthLeaving
+		return e.Weight > 0 && !slices.Contains(d.Evacuated, e.FailureDomain) && states[e.Name].Health != picker.HealthLeaving
 	}
 	isUnhealthy := func(e *deployment.Endpoint) bool {
 		return states[e.Name].Health == picker.HealthSuspect || states[e.Name].Health == picker.HealthDead
@@ -65,6 +65,9 @@
 				tried = append(tried, e.Name)
 			}
 		}
+		for _, e := range d.Endpoints[:rapid.IntRange(0, 2).Draw(t, "evacuated")%(len(d.Endpoints)+1)] {
+			d.Evacuated = append(d.Evacuated, e.FailureDomain)
+		}
 		eligible := referenceEligible(d, states, tried)
 		snap := picker.NewSnapshot(d, 1, locality, states, now)
 		req := drafts()
--- a/picker/snapshot.go
+++ b/picker/snapshot.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -244,8 +245,12 @@
 }
 
 // drainWeight returns the weight of an endpoint, scaled by the weights of its VM and
-// its failure domain. Operators set these weights to drain them.
+// its failure domain. Operators set these weights to drain them. It is 0 for an endpoint
+// of an evacuated failure domain.
 func drainWeight(d *deployment.Deployment, e *deployment.Endpoint) int {
+	if slices.Contains(d.Evacuated, e.FailureDomain) {
+		return 0
+	}
 	weight := e.Weight
 	for _, w := range d.Weights {
 		onVM := w.Scope == deployment.ScopeVM && w.Name == e.VM
--- a/router/router.go
+++ b/router/router.go
@@ -9,10 +9,13 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/cyclamenpoint/cyclamenpoint/balancer"
 	"github.com/cyclamenpoint/cyclamenpoint/config"
 	"github.com/cyclamenpoint/cyclamenpoint/deployment"
 	"github.com/cyclamenpoint/cyclamenpoint/dispatch"
+	"github.com/cyclamenpoint/cyclamenpoint/evacuation"
 	pb "github.com/cyclamenpoint/cyclamenpoint/gen/cyclamenpoint/v1"
 	"github.com/cyclamenpoint/cyclamenpoint/picker"
 )
@@ -124,12 +127,29 @@
 		return nil
 	}
 	if r.config != current {
+		r.logEvacuations(r.config, current)
 		r.config = current
 		r.balancer.SetDeployment(current.Deployment, current.Version)
 	}
 	return current.Deployment
 }
 
+// logEvacuations logs which evacuations begin and end with a new configuration. old is nil
+// before the first one.
+func (r *Router) logEvacuations(old, next *config.Snapshot) {
+	var before evacuation.Set
+	if old != nil {
+		before = evacuation.NewSet(old.Deployment.Evacuated)
+	}
+	changes := before.Difference(evacuation.NewSet(next.Deployment.Evacuated))
+	for _, domain := range changes.Began {
+		klog.Infof("router: evacuation in force: failure domain %s, version %d", domain, next.Version)
+	}
+	for _, domain := range changes.Ended {
+		klog.Infof("router: evacuation ended: failure domain %s, version %d", domain, next.Version)
+	}
+}
+
 // Probe implements balancer.Prober. It stores the answer, which contains the
 // agent's incarnation.
 func (r *Router) Probe(ctx context.Context, address string, req *pb.ProbeRequest) (*pb.ProbeResponse, error) {
@@ -232,10 +252,18 @@
 	}, true
 }
 
-// Available returns the endpoints that are not known to be dead or leaving, or
-// all of them if every one is.
+// Available returns the endpoints that are in no evacuated failure domain and not known to
+// be dead or leaving. If all of the former are dead or leaving, it returns these.
 func (r *Router) Available(endpoints []string) []string {
-	return r.opts.Members.Available(endpoints)
+	deploy := r.updateConfig()
+	if deploy == nil || len(deploy.Evacuated) == 0 {
+		return r.opts.Members.Available(endpoints)
+	}
+	left := slices.DeleteFunc(slices.Clone(endpoints), func(name string) bool {
+		e := deploy.Endpoint(name)
+		return e != nil && slices.Contains(deploy.Evacuated, e.FailureDomain)
+	})
+	return r.opts.Members.Available(left)
 }
 
 // Record updates the state of an endpoint from the load and the result of an
--- a/schema/schema_test.go
+++ b/schema/schema_test.go
@@ -58,6 +58,7 @@
 	d.Engine("e", g, place, operator.EngineOptions{Concurrency: 1})
 	d.Organisation("o", 1, operator.Limits{Concurrent: 3}, operator.HashKey("k"))
 	d.DrainVM("vm", 50)
+	d.EvacuateFailureDomain("a")
 	var out bytes.Buffer
 	assert.NilError(t, d.Print(&out))
 	return out.Bytes()
@@ -72,6 +73,7 @@
 		{"unknown field", "name: sample", "nam: sample"},
 		{"bad kind", "kind: engine", "kind: motor"},
 		{"text for a number", "max_tokens: 16", "max_tokens: many"},
+		{"evacuated domain that is no text", "evacuated:\n  - a", "evacuated:\n  - [a]"},
 		{"missing weight", "    weight: 100\n", ""},
 	}
 	for _, test := range tests {
