--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -89,6 +89,15 @@
 	_ = p.log.Close()
 }
 
+// logText returns the log so far, empty if it cannot be read.
+func (p *process) logText() string {
+	text, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
 // crashes returns the lines of the log that report panics or fatal errors of the
 // Go runtime. No injected fault may cause one.
 func (p *process) crashes() []string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,9 +55,11 @@
 	endpointRNG *rand.Rand
 	// statementRNG selects what endpoints state and crashes of engines, in the same way.
 	statementRNG *rand.Rand
-	store        *rowstore.Store
-	storeProxy   *proxy
-	endpoints    []*endpoint.Endpoint
+	// evacuationRNG selects evacuations, in the same way.
+	evacuationRNG *rand.Rand
+	store         *rowstore.Store
+	storeProxy    *proxy
+	endpoints     []*endpoint.Endpoint
 	// endpointProxies are the proxies in front of the endpoints, by index.
 	endpointProxies []*proxy
 	group           *rankengine.Group
@@ -76,7 +79,8 @@
 // twice or although it was rejected, if an endpoint executes a request that no
 // caller sent, for another organisation or with the caller's credential, if an
 // answer or event belongs to another request or is out of order, if the ranks run a
-// pass with different maps, or if a process panics.
+// pass with different maps, if a request reaches an endpoint of a failure domain that its
+// gateway has evacuated, or if a process panics.
 func TestSoak(t *testing.T) {
 	gateway, agent := buildPrograms(t)
 	for _, r := range regressions {
@@ -91,7 +95,7 @@
 // until all gateways are ready, callers are served and the rank group runs
 // passes, and then verifies the outcome.
 func runSeed(t *testing.T, seed uint64, gateway, agent string) {
-	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), statementRNG: rand.New(rand.NewPCG(seed, 9)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
+	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), statementRNG: rand.New(rand.NewPCG(seed, 9)), evacuationRNG: rand.New(rand.NewPCG(seed, 10)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
 	logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
 	b.logDir = logDir
@@ -124,19 +128,21 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	violations := b.checkEvacuation()
 	cancel()
 	tasks.Wait()
-	b.verify(plan)
+	b.verify(plan, violations)
 }
 
-// verify fails the test if any check reports a violation. It deletes the logs of a
-// passing seed unless -soak.keep is set.
-func (b *testbed) verify(plan []fault) {
+// verify fails the test if any check reports a violation, or there are violations already.
+// It deletes the logs of a passing seed unless -soak.keep is set.
+func (b *testbed) verify(plan []fault, violations []string) {
 	var runs []endpoint.Run
 	for _, e := range b.endpoints {
 		runs = append(runs, e.Runs()...)
 	}
-	violations := append(check(b.history.all(), runs), b.group.Violations()...)
+	violations = append(violations, check(b.history.all(), runs)...)
+	violations = append(violations, b.group.Violations()...)
 	for _, p := range append(b.gateways, b.agents...) {
 		violations = append(violations, p.crashes()...)
 	}
@@ -217,7 +223,57 @@
 
 // listEndpoint writes the entry of an endpoint with its start time.
 func (b *testbed) listEndpoint(i int, started int64) {
-	b.store.Put("servers", b.endpoints[i].ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":"d1","slots":16,"state":"ready","born":%d}`, b.endpointProxies[i].address, started)))
+	b.store.Put("servers", b.endpoints[i].ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":16,"state":"ready","born":%d}`, b.endpointProxies[i].address, domainOf(i), started)))
+}
+
+// checkedDomain is the failure domain of the last endpoint. No fault evacuates it, only
+// checkEvacuation does.
+const checkedDomain = "d3"
+
+// domainOf returns the failure domain of an endpoint.
+func domainOf(i int) string { return []string{"d1", "d1", "d2", checkedDomain}[i] }
+
+// randomEvacuation returns the evacuation of a failure domain, as randomFault does.
+func (b *testbed) randomEvacuation() (string, func()) {
+	key := "evacuate/" + domainOf(b.evacuationRNG.IntN(3))
+	duration := time.Duration(b.evacuationRNG.IntN(1500)) * time.Millisecond
+	return key, func() {
+		b.store.Put("op", key, []byte("{}"))
+		time.AfterFunc(duration, func() { b.store.Remove("op", key) })
+	}
+}
+
+// checkEvacuation evacuates a failure domain while no fault is injected, and returns a
+// violation for each request to it that was sent after all gateways had applied this. It
+// returns once the evacuation is withdrawn and the domain gets requests again.
+func (b *testbed) checkEvacuation() []string {
+	last := b.endpoints[len(b.endpoints)-1]
+	var logged []int
+	for _, p := range b.gateways {
+		logged = append(logged, len(p.logText()))
+	}
+	b.store.Put("op", "evacuate/"+checkedDomain, []byte("{}"))
+	for i, p := range b.gateways {
+		for !strings.Contains(p.logText()[logged[i]:], `"domain":"`+checkedDomain+`"`) {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	applied := b.requestID.Load()
+	for before := b.served.Load(); b.served.Load() < before+100; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	var violations []string
+	runs := last.Runs()
+	for _, run := range runs {
+		if number, err := strconv.ParseInt(strings.TrimPrefix(run.ID, "r"), 10, 64); err == nil && number > applied {
+			violations = append(violations, "evacuated: "+run.ID+" was executed in an evacuated failure domain")
+		}
+	}
+	b.store.Remove("op", "evacuate/"+checkedDomain)
+	for len(last.Runs()) == len(runs) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return violations
 }
 
 // putConfig writes a version of the configuration to the store.
@@ -330,6 +386,10 @@
 			name, inject := b.randomStatement()
 			faults = append(faults, fault{0, name, inject})
 		}
+		if b.evacuationRNG.IntN(4) == 0 {
+			name, inject := b.randomEvacuation()
+			faults = append(faults, fault{0, name, inject})
+		}
 	}
 	return faults
 }
