--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -39,7 +39,10 @@
 	// multiplied. A gate is normally closed for a shorter time, and most of that
 	// time passes before the group reaches the gate.
 	usualClosedTime = 150 * time.Millisecond
-	maxExtraSteps   = 12
+	// maxClosedTime bounds the recorded closed time, and so the time between two switches.
+	// The agent beside the gate ends an abandoned hold sooner.
+	maxClosedTime = time.Second
+	maxExtraSteps = 12
 	// invalidMapDelay is the time after an engine found a map invalid before the next
 	// one is planned.
 	invalidMapDelay = time.Second
@@ -59,6 +62,12 @@
 	maxSwitchTime = 2 * time.Second
 )
 
+// initialMap is the version of the map with which a group opens. It ignores the demand, so it
+// is replaced as soon as the demand is known, also while few requests run: those who return
+// after a failure or at the start of the day come within a second, and find passes three
+// times as long as with a suitable map.
+const initialMap = 0
+
 // leader decides the group's map while this agent is the leader.
 type leader struct {
 	agent *Agent
@@ -288,7 +297,7 @@
 		group.base = inForce
 	}
 	began := time.Now()
-	gain := max(utilisationWeight(util, ranks), latencyWeight(l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load())))
+	gain := gainWeight(state.InForce, util, ranks, l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load()))
 	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
 	if err != nil {
 		return err
@@ -308,6 +317,15 @@
 	return l.applyDecision(ctx, group, state, decision, began, util)
 }
 
+// gainWeight returns the weight of a gain in step time, from 0 to 1, for a group with a map
+// in force.
+func gainWeight(inForce uint64, utilisation float64, ranks []placement.Rank, pass, gap time.Duration) float64 {
+	if inForce == initialMap {
+		return 1
+	}
+	return max(utilisationWeight(utilisation, ranks), latencyWeight(pass, gap))
+}
+
 // WorthSwitching reports whether a decision to change the map gains enough for a
 // switch.
 func WorthSwitching(d placement.Decision) bool {
@@ -323,12 +341,18 @@
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
 	l.sent = plan.Map
-	states, err := l.prepareWhileCurrent(ctx, group, plan)
+	prepareMap := l.prepareWhileCurrent
+	if state.InForce == initialMap {
+		// Also a map for an estimate from few requests, or for the demand before a
+		// shift, is far better than the initial one.
+		prepareMap = prepare
+	}
+	states, err := prepareMap(ctx, group, plan)
 	closedFor := time.Duration(0)
 	if err == nil {
 		closedFor, err = switchPrepared(ctx, group, plan, states)
 	}
-	l.gateClosed, l.lastAttemptAt = max(closedFor, l.gateClosed*closedKeepPercent/100), time.Now()
+	l.gateClosed, l.lastAttemptAt = max(recordedClosedTime(closedFor, err), l.gateClosed*closedKeepPercent/100), time.Now()
 	metric.MapChangeTime.UpdateDuration(began)
 	metric.GateClosedTime.Update(closedFor.Seconds())
 	if err != nil {
@@ -359,6 +383,16 @@
 	return nil
 }
 
+// recordedClosedTime returns the closed time to record for a switch. A leader that was
+// stopped during its hold measures its own stop: others have fenced it and ended the hold
+// long before. A recorded stop of 4 s would keep the group on an unsuitable map for 15 s.
+func recordedClosedTime(closed time.Duration, err error) time.Duration {
+	if errors.As(err, new(*FencedError)) {
+		return 0
+	}
+	return min(closed, maxClosedTime)
+}
+
 const (
 	// outdatedPeriod is the time between two checks whether the demand has shifted
 	// since a plan was made.
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -63,6 +63,30 @@
 	assert.Equal(t, l.expectedSwitchTime(now), maxSwitchTime)
 }
 
+// TestRecordedClosedTime guards against a group that keeps an unsuitable map for 15 s after
+// its leader's VM was frozen for 4 s in the middle of a switch: the leader took the freeze for
+// the time for which its gate was closed, and waited four times as long before the next
+// switch. The agent beside the gate had ended the hold after 0.2 s.
+func TestRecordedClosedTime(t *testing.T) {
+	const freeze = 4 * time.Second
+	fenced := errors.WithMessage(&FencedError{Token: 1, Newest: 2}, "hold")
+	assert.Equal(t, recordedClosedTime(freeze, fenced), time.Duration(0))
+	assert.Equal(t, recordedClosedTime(300*time.Millisecond, nil), 300*time.Millisecond)
+	rest := closedRestFactor * (recordedClosedTime(freeze, errors.New("no answer")) - usualClosedTime)
+	assert.Assert(t, rest < freeze, "%s", rest)
+}
+
+// TestInitialMapIsReplacedAtOnce guards against a group that keeps its initial map, with a
+// skew above 3, for the first 0.5 to 1.2 s of its work: while few requests run, a shorter
+// step is worth nothing, but the callers who return after a power failure come within a
+// second. A map that follows the demand is changed only for a gain.
+func TestInitialMapIsReplacedAtOnce(t *testing.T) {
+	const idle, pass, gap = 0.1, 30 * time.Millisecond, 120 * time.Millisecond
+	assert.Equal(t, gainWeight(initialMap, idle, nil, pass, gap), 1.0)
+	assert.Equal(t, gainWeight(7, idle, nil, pass, gap), 0.0)
+	assert.Equal(t, gainWeight(7, 1, nil, pass, gap), 1.0)
+}
+
 // TestReportsExpire: the reports of the ranks count while they are recent.
 func TestReportsExpire(t *testing.T) {
 	a := &Agent{loads: make(map[string]timedLoad)}
