--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -522,3 +522,36 @@
 		assert.Assert(t, !lostAt.IsZero())
 	})
 }
+
+// pollSilent is a store that answers only calls that do not wait for a change.
+type pollSilent struct{ *fakeStore }
+
+func (s pollSilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	if wait > 0 {
+		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+	}
+	return s.fakeStore.Changes(ctx, table, after, wait)
+}
+
+// TestSilentPolls guards against a change that arrives later than VerifyInterval because the
+// store leaves long polls unanswered.
+func TestSilentPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := pollSilent{newFakeStore()}
+		changed := make(chan struct{}, 1)
+		f := New("table", s, verifiedTiming, slog.New(slog.DiscardHandler), func(Copy) { changed <- struct{}{} })
+		ctx, cancel := context.WithCancel(t.Context())
+		var run sync.WaitGroup
+		run.Go(func() { f.Run(ctx) })
+		<-changed
+		for i := range 200 {
+			time.Sleep(time.Duration(i*17) * time.Millisecond)
+			acknowledged := time.Now()
+			s.put("a", "1")
+			<-changed
+			assert.Assert(t, time.Since(acknowledged) <= verifiedTiming.VerifyInterval, "%s", time.Since(acknowledged))
+		}
+		cancel()
+		run.Wait()
+	})
+}
