--- a/internal/measure/placement/shiftdays.go
+++ b/internal/measure/placement/shiftdays.go
@@ -37,7 +37,7 @@
 // measureShifts plays days on which the demand shifts every few seconds and prints a
 // table of the skew that the planners' maps meet.
 func measureShifts(w io.Writer, workers int) error {
-	fmt.Fprintln(w, "| Group, sets x experts, a load | Planner | Mean skew | p95 | Changes | Loads | A decision |\n|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| Group, sets x experts, a load | Planner | Mean skew | p95 | Late time | On time | Changes | Loads | A decision |\n|---|---|---|---|---|---|---|---|---|")
 	for _, g := range shifts.Groups {
 		planners := shiftPlanners(g)
 		results := make([][shiftSeeds]shifts.Result, len(planners))
@@ -56,7 +56,7 @@
 		}
 		for i, p := range planners {
 			r := meanResult(results[i][:])
-			fmt.Fprintf(w, "| %s | %s | %.2f | %.2f | %d | %d | %s |\n", g.Name, p.name, r.MeanSkew, r.P95Skew, r.Changes, r.Copies, r.DecisionTime.Round(100*time.Microsecond))
+			fmt.Fprintf(w, "| %s | %s | %.2f | %.2f | %.1f%% | %.1f%% | %d | %d | %s |\n", g.Name, p.name, r.MeanSkew, r.P95Skew, 100*r.Late, 100*r.OnTime, r.Changes, r.Copies, r.DecisionTime.Round(100*time.Microsecond))
 		}
 	}
 	return nil
@@ -69,6 +69,8 @@
 	for _, d := range days {
 		mean.MeanSkew += d.MeanSkew / float64(n)
 		mean.P95Skew += d.P95Skew / float64(n)
+		mean.Late += d.Late / float64(n)
+		mean.OnTime += d.OnTime / float64(n)
 		mean.Changes += d.Changes
 		mean.Copies += d.Copies
 		mean.DecisionTime += d.DecisionTime / time.Duration(n)
--- a/internal/measure/placement/shifts/planners.go
+++ b/internal/measure/placement/shifts/planners.go
@@ -26,7 +26,7 @@
 }
 
 func (p Current) policy(o Observation) placement.Policy {
-	return rankgroup.NewPolicy(&p.Group.Experts, p.Group.Ranks, 1, rankgroup.Pace{SwitchTime: SwitchPasses * o.Pass})
+	return rankgroup.NewPolicy(&p.Group.Experts, p.Group.Ranks, 1, rankgroup.Pace{SwitchTime: SwitchPasses * o.Pass, Pass: p.Group.Pass, TargetGap: TargetGap})
 }
 
 // Foreseeing is the policy of the agents with the demand of the time in which the
@@ -48,7 +48,7 @@
 // Decide implements Planner.
 func (p Unlimited) Decide(inForce expertmap.Map, o Observation) (placement.Decision, error) {
 	policy := Current(p).policy(o)
-	policy.MaxLoadsPerRank, policy.LoadTime, policy.MaxLoadTime = 0, 0, time.Hour
+	policy.MaxLoadsPerRank, policy.LoadTime, policy.MaxLoadTime, policy.TargetStep = 0, 0, time.Hour, 0
 	policy.Objective.Move, policy.StoreShare = 0, 1e9
 	return p.Group.decide(policy, inForce, o.Running)
 }
--- a/internal/measure/placement/shifts/shifts.go
+++ b/internal/measure/placement/shifts/shifts.go
@@ -57,8 +57,11 @@
 // Result is the outcome of one simulated day.
 type Result struct {
 	MeanSkew, P95Skew float64
-	Changes, Copies   int
-	DecisionTime      time.Duration
+	// Late is the share of the time in passes longer than TargetGap, and OnTime the
+	// share of the finished requests that met no such pass.
+	Late, OnTime    float64
+	Changes, Copies int
+	DecisionTime    time.Duration
 }
 
 // shape returns the shape of the group's maps.
@@ -75,6 +78,8 @@
 type request struct {
 	generation, topic int
 	passesLeft        int
+	// late is true once a pass of the request was longer than TargetGap.
+	late bool
 }
 
 // Simulation is one simulated day of a group.
@@ -89,6 +94,8 @@
 	mixes    [][][]float64
 	requests []request
 	now      time.Duration
+	// finished counts the requests that have ended, onTime those that met no late pass.
+	finished, onTime int
 }
 
 // New returns a simulation with the given seed.
@@ -196,12 +203,19 @@
 	return out
 }
 
-// pass runs one pass of all requests.
-func (s *Simulation) pass() {
+// pass runs one pass of all requests, of the given time.
+func (s *Simulation) pass(took time.Duration) {
 	for i := range s.requests {
-		if s.requests[i].passesLeft--; s.requests[i].passesLeft <= 0 {
-			s.requests[i] = s.newRequest()
+		r := &s.requests[i]
+		r.late = r.late || took > TargetGap
+		if r.passesLeft--; r.passesLeft > 0 {
+			continue
 		}
+		s.finished++
+		if !r.late {
+			s.onTime++
+		}
+		*r = s.newRequest()
 	}
 }
 
@@ -217,6 +231,9 @@
 	// are loaded.
 	copySlowdown = 0.15
 	firstShift   = 2 * time.Second
+	// TargetGap is the target for the pause between two events of an answer. There is
+	// one event in each pass.
+	TargetGap = 120 * time.Millisecond
 )
 
 // pending is a map change in progress.
@@ -291,9 +308,14 @@
 				result.Copies += len(d.Moves)
 			}
 		}
-		s.pass()
+		if pass > TargetGap {
+			result.Late += pass.Seconds()
+		}
+		s.pass(pass)
 		s.now += pass
 	}
+	result.Late /= totalTime.Seconds()
+	result.OnTime = float64(s.onTime) / float64(max(s.finished, 1))
 	result.DecisionTime /= time.Duration(max(decisions, 1))
 	result.MeanSkew, result.P95Skew = summary(skews, weights)
 	return result, nil
@@ -315,7 +337,7 @@
 			}
 			n++
 		}
-		c.pass()
+		c.pass(pass)
 		c.now += pass
 	}
 	for i := range mean {
