rankgroup: a map comes into force with the next pass after its loads

Cause: the gate closed two passes ahead. After a shift these passes have the old map's skew and take 130 to 160 ms each, as long as four weight loads of 36 ms. Arming takes some tens of ms.

Change: minStepsAhead is 1 instead of 2. If the step begins before the gate's order arrives, the gate closes at a later one (maxHoldAttempts), and the loaded map is kept; before, the switch failed and its loads were lost. extraSteps rounds the closed time of recent gates to the nearest number of passes, so a group with slow orders keeps the former distance. Hold, arm and release are as before. To undo: minStepsAhead.

TestSwitchAtNextPass fails with minStepsAhead 2.

--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -37,8 +37,13 @@
 	// engineCallTimeout.
 	armTimeout = 1200 * time.Millisecond
 	// minStepsAhead is the minimum number of steps between the current step and
-	// a switch.
-	minStepsAhead = 2
+	// a switch. With one, the switch comes with the next pass; the passes before it
+	// have the skew of the old map. Plan.ExtraSteps covers groups whose orders take
+	// longer than a pass.
+	minStepsAhead = 1
+	// maxHoldAttempts bounds the attempts to close the gate. An attempt fails if its
+	// step begins before the order arrives, which shows within some milliseconds.
+	maxHoldAttempts = 4
 	// idleStepJitter spreads the steps of successive switches while the group
 	// is idle and its step does not advance.
 	idleStepJitter = 3
@@ -124,7 +129,8 @@
 	if idle(states) {
 		step += rand.Uint64N(idleStepJitter)
 	}
-	if err := hold(ctx, group, p, step); err != nil {
+	step, err = holdNext(ctx, group, p, step)
+	if err != nil {
 		return time.Since(began), errors.WithMessage(err, "hold")
 	}
 	if err := arm(ctx, group, p, step); err != nil {
@@ -150,6 +156,20 @@
 	return RecoverHold(ctx, group, h)
 }
 
+// holdNext closes the gate at a step, or at a later one if that step has begun. It
+// returns the step. An order for a step that has begun has no effect, also if it
+// arrives late.
+func holdNext(ctx context.Context, group GroupClient, p Plan, step uint64) (uint64, error) {
+	for attempt := 1; ; attempt++ {
+		err := hold(ctx, group, p, step)
+		var passed *PassedError
+		if attempt == maxHoldAttempts || !errors.As(err, &passed) {
+			return step, err
+		}
+		step = max(step, passed.Now) + minStepsAhead + p.ExtraSteps
+	}
+}
+
 // hold closes the gate. The leader sends the order directly to the engine, so
 // that the agent beside the gate can end the hold if the leader's VM stops.
 func hold(ctx context.Context, group GroupClient, p Plan, step uint64) error {
--- a/rankgroup/gate_test.go
+++ b/rankgroup/gate_test.go
@@ -52,6 +52,49 @@
 	})
 }
 
+// lateHoldClient sends hold orders only after the group has begun more passes.
+type lateHoldClient struct {
+	*simGroupClient
+	// late is the number of orders that arrive too late.
+	late int
+}
+
+func (c *lateHoldClient) Hold(ctx context.Context, rank int, o Order) error {
+	for c.late > 0 && c.g.latestStep() < o.Step {
+		time.Sleep(simPass / 5)
+	}
+	c.late--
+	return c.simGroupClient.Hold(ctx, rank, o)
+}
+
+// TestSwitchAtNextPass guards against passes with the old map between the loads and
+// the switch: each of them has the skew of the shift. The switch comes with the next
+// pass. If that pass begins before the gate is closed, the gate closes at a later one,
+// and the loads of the map are not lost.
+func TestSwitchAtNextPass(t *testing.T) {
+	for late, most := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newSimGroup(t, 5, simFaults{})
+				simulate(g, 0, nil, func(ctx context.Context) {
+					time.Sleep(4*simPass + simPass/4)
+					client := &lateHoldClient{simGroupClient: g.client(0), late: late}
+					client.base = g.engines[0].inForceMap
+					plan := Plan{Epoch: 1, Version: NextVersion(0), Map: client.base, Gate: gateOf(0, g.shape.Ranks)}
+					before := g.latestStep()
+					_, err := Switch(ctx, client, plan)
+					assert.NilError(t, err)
+					time.Sleep(simPass)
+					g.mu.Lock()
+					defer g.mu.Unlock()
+					assert.Equal(t, g.engines[0].inForce, plan.Version)
+					assert.Assert(t, g.step <= before+most, "%d passes began until the map was in force", g.step-before)
+				})
+			})
+		})
+	}
+}
+
 // TestFrozenLeader: the VM of the leader and its engine freezes while the
 // answer to the leader's hold order is in transit. The agent beside the gate
 // releases the group long before the leader runs again.
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -432,15 +432,15 @@
 	return states, err
 }
 
-// extraSteps returns the number of passes that fit into the recorded closed
-// time, at most maxExtraSteps. It is much higher than usual while orders get no
-// answer.
+// extraSteps returns the recorded closed time in passes, rounded to the nearest
+// number, at most maxExtraSteps. So the gate rarely delays the group by more than half
+// a pass. It is much higher than usual while orders get no answer.
 func (l *leader) extraSteps() uint64 {
 	pass := l.agent.passes.passTime()
 	if pass <= 0 {
 		return 0
 	}
-	return min(uint64(l.gateClosed/pass), maxExtraSteps)
+	return min(uint64((l.gateClosed+pass/2)/pass), maxExtraSteps)
 }
 
 // expectedSwitchTime returns the time that the next switch will take beyond the
