measure/placement: a map comes into force at the first pass after arming

Two passes after the loads were too many: since the gate closes at the next step, a map comes into force at the end of the pass in which its ranks are armed. SwitchPasses remains what the planner expects.

--- a/internal/measure/placement/shifts/shifts.go
+++ b/internal/measure/placement/shifts/shifts.go
@@ -225,9 +225,12 @@
 	decisionPeriod = 100 * time.Millisecond
 	// observationLag is the age of what a planner sees.
 	observationLag = 150 * time.Millisecond
-	// SwitchPasses is the number of passes of a switch after the weight loads: the
-	// current one and one more at most.
+	// SwitchPasses is the number of passes after the weight loads that the planner expects
+	// a switch to take, as the leader does.
 	SwitchPasses = 2
+	// armTime is the time in which the gate is closed and all ranks are armed. The map
+	// comes into force with the first pass after it.
+	armTime = 40 * time.Millisecond
 	// copySlowdown is the relative increase of the time of a pass while weights
 	// are loaded.
 	copySlowdown = 0.15
@@ -304,7 +307,7 @@
 					loads[m.Rank]++
 				}
 				loaded := s.now + time.Duration(slices.Max(loads))*g.CopyTime()
-				change = &pending{next: d.Map, loadedAt: loaded, inForceAt: loaded + SwitchPasses*pass}
+				change = &pending{next: d.Map, loadedAt: loaded, inForceAt: loaded + armTime}
 				result.Changes++
 				result.Copies += len(d.Moves)
 			}
