rankgroup: the ranks that report a shift stand for all ranks

Cause: after a shift the leader waited two windows, until nearly all ranks had reported it, and a window lasted 50 or 75 ms, as the ticks fell. With passes of 150 ms every 50 ms make callers late. The measured 0.18 s from a shift to the decision are mostly this wait.

Change: while a shift arrives, the reports are divided by their projection onto the change of the sum. Once the changed ones hold a quarter of the demand, from three ranks at least, and differ by a fifth, their mix is the demand, and the other reports are dropped until those ranks report again (changedRanks). A window ends at the tick nearest to its period (tickPeriod). To undo: minChangedPart above 1. A plan for a wrong demand is still dropped while it is loaded (outdatedDistance).

TestGroupDemand: update has a second result; its statements are unchanged.

--- a/rankgroup/demand_test.go
+++ b/rankgroup/demand_test.go
@@ -164,12 +164,14 @@
 func TestGroupDemand(t *testing.T) {
 	g := newGroupDemand(expertmap.Shape{Layers: 1, Experts: 2, Ranks: 3, Slots: 1})
 	assert.Equal(t, g.estimates().Windows, int64(0))
-	assert.DeepEqual(t, g.update(map[int][]uint32{0: {300, 100}, 1: {300, 100}, 2: {1}}), []int{2})
+	ignored, outdated := g.update(map[int][]uint32{0: {300, 100}, 1: {300, 100}, 2: {1}})
+	assert.DeepEqual(t, ignored, []int{2})
+	assert.Equal(t, len(outdated), 0)
 	assert.DeepEqual(t, g.estimates().Share, []float64{0.75, 0.25})
 	assert.Assert(t, !g.shifting())
 	g.update(map[int][]uint32{0: {100, 300}, 1: {300, 100}})
 	assert.DeepEqual(t, g.estimates().Share, []float64{0.5, 0.5})
-	assert.Assert(t, g.shifting(), "half of the ranks report the new demand")
+	assert.Assert(t, g.shifting(), "half of the ranks report the new demand, but one rank may have a long prompt")
 	g.update(map[int][]uint32{0: {100, 300}, 1: {100, 300}})
 	assert.Assert(t, g.shifting())
 	g.update(map[int][]uint32{0: {100, 300}, 1: {100, 300}})
@@ -183,6 +185,43 @@
 	assert.Equal(t, g.estimates().Age, int64(1))
 }
 
+// TestChangedRanksStandForAll guards against decisions that wait, or that mix demands
+// of before and after a shift, while the shift arrives in the reports. Three ranks of
+// eight suffice; two do not, and neither do small changes.
+func TestChangedRanksStandForAll(t *testing.T) {
+	old, next, near := []uint32{600, 200, 200}, []uint32{200, 600, 200}, []uint32{450, 350, 200}
+	report := func(changed ...[]uint32) map[int][]uint32 {
+		demands := make(map[int][]uint32)
+		for rank := range 8 {
+			demands[rank] = old
+			if rank < len(changed) {
+				demands[rank] = changed[rank]
+			}
+		}
+		return demands
+	}
+	for _, c := range []struct {
+		name    string
+		changed [][]uint32
+		decided bool
+	}{
+		{"two", [][]uint32{next, next}, false},
+		{"three", [][]uint32{next, next, next}, true},
+		{"small change", [][]uint32{near, near, near, near, near}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroupDemand(expertmap.Shape{Layers: 1, Experts: 3, Ranks: 8, Slots: 1})
+			g.update(report())
+			_, outdated := g.update(report(c.changed...))
+			assert.Equal(t, g.shifting(), !c.decided)
+			if c.decided {
+				assert.DeepEqual(t, outdated, []int{3, 4, 5, 6, 7})
+				assert.DeepEqual(t, g.estimates().Share, []float64{0.2, 0.6, 0.2})
+			}
+		})
+	}
+}
+
 // TestKeptDecision: a decision to keep the map is not made again in each window. It
 // holds for some time, for one map and one demand.
 func TestKeptDecision(t *testing.T) {
--- a/rankgroup/groupdemand.go
+++ b/rankgroup/groupdemand.go
@@ -1,6 +1,8 @@
 package rankgroup
 
 import (
+	"slices"
+
 	"github.com/cyclamenpoint/cyclamenpoint/expertmap"
 	"github.com/cyclamenpoint/cyclamenpoint/placement"
 )
@@ -13,6 +15,17 @@
 	// maxUnsettledWindows bounds the time for which a decision waits for a shift
 	// to arrive in the reports of all ranks.
 	maxUnsettledWindows = 2
+	// minShift is the share of the demand that has to change for the ranks that report
+	// the change to stand for all. minChangedPart and minChangedRanks are the least
+	// part of the demand and the least number of ranks: a few ranks that begin long
+	// prompts at the same time do not show a shift.
+	minShift        = 0.2
+	minChangedPart  = 0.25
+	minChangedRanks = 3
+	// changedProjection is the projection of a rank's change onto that of the group,
+	// as a part of the largest one, from which the rank's report counts as changed.
+	// Reports from before the shift are near zero.
+	changedProjection = 0.5
 )
 
 // groupDemand is the demand of all ranks of a group for each expert. It follows
@@ -28,6 +41,8 @@
 	windows, age int64
 	// unsettled counts the successive windows in which the demand has shifted.
 	unsettled int
+	// settled is the share in the last window before those.
+	settled []float64
 }
 
 func newGroupDemand(shape expertmap.Shape) *groupDemand { return &groupDemand{shape: shape} }
@@ -35,20 +50,90 @@
 // update replaces the demand by the sum of the ranks' demands, which are ordered
 // by layer, then expert. It returns the ranks whose demand has another size. A
 // window without demand in some layer leaves the estimate as it is.
-func (g *groupDemand) update(demands map[int][]uint32) (ignored []int) {
+//
+// While a shift arrives in the reports, the ranks that report it stand for all ranks
+// once there are enough of them. update then returns the others as outdated: their
+// reports are from before the shift.
+func (g *groupDemand) update(demands map[int][]uint32) (ignored, outdated []int) {
 	g.age++
 	total, ignored, ok := g.sum(demands)
 	if !ok {
-		return ignored
+		return ignored, nil
 	}
-	if g.share != nil && g.distanceTo(total) > settledDistance {
-		g.unsettled++
-	} else {
+	switch {
+	case g.share == nil || g.distanceTo(total) <= settledDistance:
 		g.unsettled = 0
+	default:
+		if g.unsettled == 0 {
+			g.settled = g.share
+		}
+		g.unsettled++
+		if changed, others := g.changedRanks(demands, total); changed != nil {
+			total, outdated, g.unsettled = changed, others, 0
+		}
 	}
 	g.share, g.age = total, 0
 	g.windows++
-	return ignored
+	return ignored, outdated
+}
+
+// changedRanks returns the shares of the demand of those ranks that report a shift,
+// and the other ranks. It returns nil if they are too few or the shift is too small.
+// total is the share of all ranks.
+func (g *groupDemand) changedRanks(demands map[int][]uint32, total []float64) (share []float64, others []int) {
+	change := make([]float64, len(total))
+	for i, x := range total {
+		change[i] = x - g.settled[i]
+	}
+	projections := make(map[int]float64, len(demands))
+	largest, weights := 0.0, 0.0
+	for rank, demand := range demands {
+		weight, projection := g.project(demand, change)
+		if weight == 0 {
+			continue
+		}
+		projections[rank] = projection
+		largest = max(largest, projection)
+		weights += weight
+	}
+	changed, part := make(map[int][]uint32, len(demands)), 0.0
+	for rank, projection := range projections {
+		if projection < changedProjection*largest {
+			others = append(others, rank)
+			continue
+		}
+		changed[rank] = demands[rank]
+		weight, _ := g.project(demands[rank], nil)
+		part += weight / weights
+	}
+	if len(changed) < minChangedRanks || part < minChangedPart {
+		return nil, nil
+	}
+	share, _, ok := g.sum(changed)
+	if !ok || shareDistance(g.settled, share)/float64(g.shape.Layers) < minShift {
+		return nil, nil
+	}
+	slices.Sort(others)
+	return share, others
+}
+
+// project returns the demand of a rank in one layer and the projection of its
+// difference from the settled share onto a change, zero for a demand of another size.
+func (g *groupDemand) project(demand []uint32, change []float64) (weight, projection float64) {
+	if len(demand) != len(g.settled) {
+		return 0, 0
+	}
+	for _, n := range demand {
+		weight += float64(n)
+	}
+	weight /= float64(g.shape.Layers)
+	if weight == 0 {
+		return 0, 0
+	}
+	for i, c := range change {
+		projection += c * (float64(demand[i])/weight - g.settled[i])
+	}
+	return weight, projection
 }
 
 // sum returns the shares of the sum of the ranks' demands and the ranks whose demand
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -19,6 +19,8 @@
 	// broadcastPeriod is the time between two reports of the group's load to
 	// the entry nodes, and between two messages of the leader to the ranks.
 	broadcastPeriod = 150 * time.Millisecond
+	// tickPeriod is the time between two checks whether a window has ended.
+	tickPeriod = statePollPeriod / 2
 	// settleTimeout is how long the leader waits for a switch to show in the
 	// engine's state before it decides again. In a busy group a switch takes
 	// less than one second.
@@ -168,7 +170,7 @@
 }
 
 func (l *leader) run(ctx context.Context) {
-	ticker := time.NewTicker(statePollPeriod / 2)
+	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -211,7 +213,8 @@
 		l.demand = nil
 		return
 	}
-	if now.Sub(l.windowAt) < reportPeriodOf(state.Size) {
+	// The ticks of two windows may be a little less than a period apart.
+	if now.Sub(l.windowAt) < reportPeriodOf(state.Size)-tickPeriod/2 {
 		return
 	}
 	l.windowAt = now
@@ -259,9 +262,23 @@
 
 // observe updates the demand from the recent reports of the ranks.
 func (l *leader) observe(now time.Time) {
-	if ignored := l.demand.update(l.recentDemands(now)); len(ignored) > 0 {
+	ignored, outdated := l.demand.update(l.recentDemands(now))
+	if len(ignored) > 0 {
 		l.agent.log.Warn("expert demand of ranks ignored, wrong number of experts", "ranks", ignored)
 	}
+	l.dropDemands(outdated, now)
+}
+
+// dropDemands removes the demands of some ranks that arrived until now, so that they
+// count again with their next report.
+func (l *leader) dropDemands(ranks []int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, rank := range ranks {
+		if !l.demands[rank].at.After(now) {
+			delete(l.demands, rank)
+		}
+	}
 }
 
 // decide runs the placement policy and puts the resulting map in force.
