placement: small batches of loads are tried first

Cause: a decision tried the largest batch first and all smaller ones after it. After a shift the smallest ones win, and the large ones take most of the processor time: 8 to 10 ms on a whole core, for an agent with a fifth of one.

Change: bestBatch tries the batches in ascending order and ends when the objective rises.

--- a/placement/batch.go
+++ b/placement/batch.go
@@ -19,23 +19,24 @@
 
 // bestBatch returns the decision with the least objective among batches with
 // different limits of weight loads per rank. A small batch is in force sooner, a
-// large one lowers the skew further.
+// large one lowers the skew further. Small batches are tried first: they take the
+// least processor time, and after a shift of demand, when the decision is urgent, the
+// objective soon rises with the size of the batch.
 func (s *search) bestBatch(reason Reason) (Decision, error) {
 	var best Decision
-	for limit := s.policy.MaxLoadsPerRank; ; limit /= batchStep {
+	for _, limit := range s.batchLimits() {
 		s.draft = s.base.Edit()
 		s.rebalanceWithin(limit)
 		d, err := s.decision(reason)
 		if err != nil {
 			return Decision{}, err
 		}
+		if best.Change && d.After.Value > best.After.Value {
+			break
+		}
 		if best.Reason == "" || d.After.Value < best.After.Value {
 			best = d
 		}
-		loading := time.Duration(limit) * s.policy.LoadTime
-		if limit <= 1 || loading.Seconds() < shortLoadShare*s.policy.SwitchTime.Seconds() {
-			break
-		}
 	}
 	if best.Change && !s.resized && best.After.Value >= best.Before.Value {
 		best = unchanged(best, s.base)
@@ -43,6 +44,21 @@
 	return best, nil
 }
 
+// batchLimits returns the limits of weight loads per rank of the batches that are
+// compared, the least first.
+func (s *search) batchLimits() []int {
+	var limits []int
+	for limit := s.policy.MaxLoadsPerRank; ; limit /= batchStep {
+		limits = append(limits, limit)
+		loading := time.Duration(limit) * s.policy.LoadTime
+		if limit <= 1 || loading.Seconds() < shortLoadShare*s.policy.SwitchTime.Seconds() {
+			break
+		}
+	}
+	slices.Reverse(limits)
+	return limits
+}
+
 // unchanged returns the decision to keep the map.
 func unchanged(d Decision, base expertmap.Map) Decision {
 	return Decision{Map: base, Before: d.Before, After: d.Before, Reason: ReasonNoChange}
