rankgroup: a decision expects the passes that the demand causes

Cause: the weight of a gain and the distance of a switch came from the times of recent passes. Right after a shift these are the short ones of before it: at 60 ms of a target gap of 120 ms a gain has no weight, so that loads cost too much, and a gate that was closed for 50 ms counts as one more pass until the switch, which then takes 135 ms. Decisions now come before the first pass of a shift has ended.

Change: expectedPass is the time of an even pass at the skew of the map in force, or the recent time if that is longer. It sets the latency weight and the extra steps. The time of an even pass is not updated from a window whose skew differs by a tenth from that of the window before (sameSkew): its passes had the former skew.

--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,9 @@
 	// skew. It is small because the times of passes follow a shift of the skew a few
 	// windows later.
 	evenPassGain = 0.1
+	// sameSkew is the relative difference of two windows' skews up to which the passes
+	// between them count as passes with that skew.
+	sameSkew = 0.1
 	// maxSwitchTime bounds that expectation, because a switch of a busy group
 	// takes longer only while orders get no answer.
 	maxSwitchTime = 2 * time.Second
@@ -102,8 +106,10 @@
 	switchTime time.Duration
 	// kept is the latest decision to keep the map.
 	kept keptDecision
-	// evenPass is the mean time of a pass if all ranks had the same load.
+	// evenPass is the mean time of a pass if all ranks had the same load, passSkew the
+	// skew of the latest window from which it was updated.
 	evenPass time.Duration
+	passSkew float64
 	// lastAttemptAt is when the newest attempt to switch ended.
 	lastAttemptAt time.Time
 	// planAfter is the time before which no map is planned, after an invalid one.
@@ -314,13 +320,15 @@
 		group.base = inForce
 	}
 	began := time.Now()
-	gain := gainWeight(state.InForce, util, ranks, l.agent.passes.passTime(), time.Duration(l.agent.targetGap.Load()))
-	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(l.placementInput(inForce, ranks, model.Experts))
+	input := l.placementInput(inForce, ranks, model.Experts)
+	pass := l.expectedPass(model.Experts, placement.Skew(inForce, input.Loads, ranks))
+	gain := gainWeight(state.InForce, util, ranks, pass, time.Duration(l.agent.targetGap.Load()))
+	decision, err := NewPolicy(model.Experts, l.shape.Ranks, gain, l.pace(now)).Decide(input)
 	if err != nil {
 		return err
 	}
 	metric.Skew.Update(decision.Before.Skew)
-	l.recordPass(l.agent.passes.passTime(), skewFactor(model.Experts, decision.Before.Skew))
+	l.recordPass(model.Experts, decision.Before.Skew)
 	if !decision.Change || !WorthSwitching(decision) {
 		l.kept = keptDecision{version: state.InForce, share: l.demand.share, at: now}
 		if decision.Reason != l.reason {
@@ -331,7 +339,7 @@
 	}
 	l.reason = decision.Reason
 	metric.MapDecisionTime.UpdateDuration(began)
-	return l.applyDecision(ctx, group, state, decision, began, util)
+	return l.applyDecision(ctx, group, state, decision, began, util, pass)
 }
 
 // gainWeight returns the weight of a gain in step time, from 0 to 1, for a group with a map
@@ -350,11 +358,11 @@
 }
 
 // applyDecision puts the map of a decision in force.
-func (l *leader) applyDecision(ctx context.Context, group *httpGroupClient, state State, d placement.Decision, decisionBegan time.Time, util float64) error {
+func (l *leader) applyDecision(ctx context.Context, group *httpGroupClient, state State, d placement.Decision, decisionBegan time.Time, util float64, pass time.Duration) error {
 	began := time.Now()
 	plan := Plan{
 		Epoch: state.Epoch, Map: d.Map.Normalize(), Gate: gateOf(state.Rank, l.shape.Ranks), Leader: state.Rank,
-		ExtraSteps: l.extraSteps(), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
+		ExtraSteps: l.extraSteps(pass), Version: NextVersion(state.InForce, state.PreparedVersion, l.switchedVersion, l.agent.reconciler.HighestToken()),
 	}
 	l.agent.log.Info("map changes", "group", state.Group, "epoch", state.Epoch, "map", plan.Version, "former", state.InForce, "busy", util, "decided_in", time.Since(decisionBegan).String(), "decision", d.String())
 	l.sent = plan.Map
@@ -449,11 +457,10 @@
 	return states, err
 }
 
-// extraSteps returns the recorded closed time in passes, rounded to the nearest
+// extraSteps returns the recorded closed time in passes of the given time, rounded to the nearest
 // number, at most maxExtraSteps. So the gate rarely delays the group by more than half
 // a pass. It is much higher than usual while orders get no answer.
-func (l *leader) extraSteps() uint64 {
-	pass := l.agent.passes.passTime()
+func (l *leader) extraSteps(pass time.Duration) uint64 {
 	if pass <= 0 {
 		return 0
 	}
@@ -473,14 +480,26 @@
 	return Pace{SwitchTime: l.expectedSwitchTime(now), Pass: l.evenPass, TargetGap: time.Duration(l.agent.targetGap.Load())}
 }
 
+// expectedPass returns the time of the next passes if the map in force has the given
+// skew. A shift shows in the skew a pass or more before it shows in the times of passes.
+func (l *leader) expectedPass(e *route.Experts, skew float64) time.Duration {
+	return max(l.agent.passes.passTime(), time.Duration(float64(l.evenPass)*skewFactor(e, skew)))
+}
+
 // recordPass updates the time of a pass without skew from the time of recent passes,
-// which the skew made longer by a factor.
-func (l *leader) recordPass(pass time.Duration, factor float64) {
-	even := time.Duration(float64(pass) / factor)
+// which the skew made longer. A window whose skew differs from that of the last one is
+// left out, because the passes had another skew.
+func (l *leader) recordPass(e *route.Experts, skew float64) {
+	before := l.passSkew
+	l.passSkew = skew
+	even := time.Duration(float64(l.agent.passes.passTime()) / skewFactor(e, skew))
 	if l.evenPass == 0 {
 		l.evenPass = even
 		return
 	}
+	if math.Abs(skew-before) > sameSkew*before {
+		return
+	}
 	l.evenPass += time.Duration(evenPassGain * float64(even-l.evenPass))
 }
 
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -87,6 +87,31 @@
 	assert.Equal(t, gainWeight(7, 1, nil, pass, gap), 1.0)
 }
 
+// TestPassAfterShift guards against a decision that takes the passes of before a shift
+// for those after it: a gain had no weight, and the switch waited for one more pass of
+// 135 ms, while the reports showed the shift already.
+func TestPassAfterShift(t *testing.T) {
+	const gap = 120 * time.Millisecond
+	now, e := time.Unix(100, 0), fastCopyExperts()
+	l := newLeader(&Agent{})
+	for step := range uint64(20) {
+		l.agent.passes.observe(State{Step: step, Running: 1}, now.Add(time.Duration(step)*60*time.Millisecond))
+		l.recordPass(e, 1.2)
+	}
+	even := l.evenPass
+	assert.Assert(t, even > 50*time.Millisecond && even < 53*time.Millisecond, "%s", even)
+	pass := l.expectedPass(e, 3)
+	assert.Assert(t, pass > 135*time.Millisecond && pass < 145*time.Millisecond, "%s", pass)
+	assert.Equal(t, latencyWeight(pass, gap), 1.0)
+	l.gateClosed = 50 * time.Millisecond
+	assert.Equal(t, l.extraSteps(pass), uint64(0))
+	assert.Equal(t, l.extraSteps(60*time.Millisecond), uint64(1))
+	l.recordPass(e, 3)
+	assert.Equal(t, l.evenPass, even, "the recorded passes had the former skew")
+	l.recordPass(e, 3)
+	assert.Assert(t, l.evenPass < even)
+}
+
 // TestReportsExpire: the reports of the ranks count while they are recent.
 func TestReportsExpire(t *testing.T) {
 	a := &Agent{loads: make(map[string]timedLoad)}
