rankgroup: windows with a prompt show smaller shifts

Cause: a window in which a request begins replaced the mix only at a distance of 0.45 from it. On the groups of 24 and 32 ranks a shift of 62% of the experts is a distance of 0.30 to 0.38, so such a rank kept its former demand until a pass without a prompt.

Change: the distance from which all requests have changed is 1.4 times the usual distance of such windows, which each rank learns; it begins at the former 0.45. To undo: changedRatio.

More ranks show the shift in its first window, each by one new request, so the first estimate is a little worse.

--- a/rankgroup/demand.go
+++ b/rankgroup/demand.go
@@ -22,6 +22,9 @@
 	// perToken is the usual number of expert choices for one decoded token in a
 	// layer.
 	perToken float64
+	// usualDistance is the mean distance between the mix and a window with a prefill
+	// while the demand does not change.
+	usualDistance float64
 	// mix is the share of each expert in the choices for decoded tokens, by
 	// layer, then expert; nil if it is unknown.
 	mix []float64
@@ -32,12 +35,17 @@
 	// few hundred choices of each request, and the demand of all requests may
 	// change from one pass to the next.
 	decodeGain = 0.9
-	// changedDistance is the distance between the mix and a window with a prefill
-	// from which the demand of all requests has probably changed. A single
-	// request differs less from the others. changedGain is the weight of such a
-	// window.
-	changedDistance = 0.45
-	changedGain     = 0.8
+	// changedRatio is the multiple of the usual distance between the mix and a window
+	// with a prefill from which the demand of all requests has probably changed. A single
+	// request differs less from the others; how much less depends on the number of
+	// experts and their popularity: shifts were seen with distances from 0.3 to 0.5,
+	// requests with 0.1 to 0.25. changedGain is the weight of a window of a changed demand.
+	changedRatio = 1.4
+	changedGain  = 0.8
+	// firstUsualDistance is the usual distance before there are windows, and
+	// usualDistanceGain the weight of the newest window in it.
+	firstUsualDistance = 0.32
+	usualDistanceGain  = 0.2
 	// prefillRatio is the multiple of the usual number of choices above which a
 	// window counts as one with a prefill. Shorter prefills change little.
 	prefillRatio = 2.5
@@ -53,7 +61,7 @@
 )
 
 func newDemandEstimator(layers, experts int) *demandEstimator {
-	return &demandEstimator{layers: layers, experts: experts}
+	return &demandEstimator{layers: layers, experts: experts, usualDistance: firstUsualDistance}
 }
 
 // observe adds the current counts of an engine. The engine has the given number
@@ -86,13 +94,27 @@
 	gain := decodeGain
 	if choices > prefillRatio*d.perToken*tokens {
 		gain = float64(max(running-before, 1)) / float64(max(running, 1))
-		if d.distance(window) > changedDistance {
+		if d.changed(window) {
 			gain = max(gain, changedGain)
 		}
 	}
 	d.blend(window, min(gain, 1))
 }
 
+// changed reports whether a window with a prefill shows that the demand of all requests
+// has changed, and updates the usual distance if it does not.
+func (d *demandEstimator) changed(window []float64) bool {
+	if d.mix == nil {
+		return false
+	}
+	distance := d.distance(window)
+	if distance > changedRatio*d.usualDistance {
+		return true
+	}
+	d.usualDistance += usualDistanceGain * (distance - d.usualDistance)
+	return false
+}
+
 // updatePerToken updates the usual number of choices per decoded token.
 func (d *demandEstimator) updatePerToken(ratio float64) {
 	if d.perToken == 0 {
@@ -105,9 +127,6 @@
 // distance returns the share of the choices by which a window differs from the
 // mix, as the mean over the layers.
 func (d *demandEstimator) distance(window []float64) float64 {
-	if d.mix == nil {
-		return 0
-	}
 	different := 0.0
 	for layer := range d.layers {
 		share := slices.Clone(window[layer*d.experts:][:d.experts])
--- a/rankgroup/shift_test.go
+++ b/rankgroup/shift_test.go
@@ -41,6 +41,8 @@
 	prefillShare   = 0.4
 	prefillChoices = 10 * 8 * choicesPerPass
 	topicShare     = 0.2
+	// maxLaterWrong bounds the wrong part of the demand after the first decision.
+	maxLaterWrong = 0.08
 )
 
 func newShiftGroup(shape expertmap.Shape, perRank int, exponent float64, seed uint64) *shiftGroup {
@@ -180,6 +182,9 @@
 // TestShiftIsSeenSoon guards against a leader that waits until a shift has arrived in
 // the reports of all ranks, or decides on a mix of demands of before and after it. In
 // groups of 8 to 32 ranks that took 118 to 146 ms, with passes of 150 ms that are late.
+//
+// It also guards against ranks that keep the demand of before the shift for some passes,
+// because requests begin: that left 0.089 of the demand of 24 ranks wrong.
 func TestShiftIsSeenSoon(t *testing.T) {
 	for _, c := range []struct {
 		ranks, layers, experts, perRank int
@@ -205,6 +210,7 @@
 			t.Logf("seen after %s, %.3f of the demand wrong, %.3f later", mean, wrong, later)
 			assert.Assert(t, mean <= c.most, "seen after %s", mean)
 			assert.Assert(t, wrong <= c.wrong, "%.3f of the demand wrong", wrong)
+			assert.Assert(t, later <= maxLaterWrong, "%.3f of the demand wrong later", later)
 		})
 	}
 }
