rankgroup: log line for a shift of demand

The time from a shift to a map could be read from the logs only up to `map changes`. The leader now logs `demand has shifted` with the ranks that have reported it, the share of the demand that has shifted, and how near the new demand is to one of the twelve before it (`nearest_former`). A small value of the latter would show that demands recur, which a placement could prepare for; so far nothing depends on it. TestChangedRanksStandForAll checks the values, also of a demand that recurs.

--- a/rankgroup/demand_test.go
+++ b/rankgroup/demand_test.go
@@ -217,6 +217,12 @@
 			if c.decided {
 				assert.DeepEqual(t, outdated, []int{3, 4, 5, 6, 7})
 				assert.DeepEqual(t, g.estimates().Share, []float64{0.2, 0.6, 0.2})
+				assert.Equal(t, g.seen.ranks, 3)
+				assert.Assert(t, g.seen.share > 0.39 && g.seen.nearest > 0.39, "%+v", g.seen)
+				g.update(report())
+				assert.Assert(t, g.seen.share > 0.39 && g.seen.nearest < 0.01, "the first demand recurs: %+v", g.seen)
+			} else {
+				assert.Assert(t, g.seen == nil)
 			}
 		})
 	}
--- a/rankgroup/groupdemand.go
+++ b/rankgroup/groupdemand.go
@@ -43,8 +43,25 @@
 	unsettled int
 	// settled is the share in the last window before those.
 	settled []float64
+	// past holds the settled shares before the latest shifts, the oldest first.
+	past [][]float64
+	// seen describes the shift of the latest window, nil without one.
+	seen *demandShift
 }
 
+// demandShift is a shift of the demand, for the log.
+type demandShift struct {
+	// ranks is the number of ranks that have reported it.
+	ranks int
+	// share is the share of the demand that has shifted, and nearest the least share by
+	// which the new demand differs from one before the latest shifts. A small one shows
+	// that demands recur.
+	share, nearest float64
+}
+
+// maxPast is the number of demands that are kept to see whether demands recur.
+const maxPast = 12
+
 func newGroupDemand(shape expertmap.Shape) *groupDemand { return &groupDemand{shape: shape} }
 
 // update replaces the demand by the sum of the ranks' demands, which are ordered
@@ -56,6 +73,7 @@
 // reports are from before the shift.
 func (g *groupDemand) update(demands map[int][]uint32) (ignored, outdated []int) {
 	g.age++
+	g.seen = nil
 	total, ignored, ok := g.sum(demands)
 	if !ok {
 		return ignored, nil
@@ -70,6 +88,7 @@
 		g.unsettled++
 		if changed, others := g.changedRanks(demands, total); changed != nil {
 			total, outdated, g.unsettled = changed, others, 0
+			g.recordShift(changed, len(demands)-len(others)-len(ignored))
 		}
 	}
 	g.share, g.age = total, 0
@@ -77,6 +96,20 @@
 	return ignored, outdated
 }
 
+// recordShift records a shift from the settled demand that some ranks have reported.
+func (g *groupDemand) recordShift(share []float64, ranks int) {
+	layers := float64(g.shape.Layers)
+	g.seen = &demandShift{ranks: ranks, share: shareDistance(g.settled, share) / layers}
+	g.seen.nearest = g.seen.share
+	for _, past := range g.past {
+		g.seen.nearest = min(g.seen.nearest, shareDistance(past, share)/layers)
+	}
+	if len(g.past) == maxPast {
+		g.past = slices.Delete(g.past, 0, 1)
+	}
+	g.past = append(g.past, g.settled)
+}
+
 // changedRanks returns the shares of the demand of those ranks that report a shift,
 // and the other ranks. It returns nil if they are too few or the shift is too small.
 // total is the share of all ranks.
--- a/rankgroup/lead.go
+++ b/rankgroup/lead.go
@@ -273,6 +273,9 @@
 		l.agent.log.Warn("expert demand of ranks ignored, wrong number of experts", "ranks", ignored)
 	}
 	l.dropDemands(outdated, now)
+	if seen := l.demand.seen; seen != nil {
+		l.agent.log.Info("demand has shifted", "ranks", seen.ranks, "of", l.shape.Ranks, "share", seen.share, "nearest_former", seen.nearest)
+	}
 }
 
 // dropDemands removes the demands of some ranks that arrived until now, so that they
--- a/rankgroup/shift_test.go
+++ b/rankgroup/shift_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -46,7 +47,7 @@
 )
 
 func newShiftGroup(shape expertmap.Shape, perRank int, exponent float64, seed uint64) *shiftGroup {
-	g := &shiftGroup{shape: shape, perRank: perRank, exponent: exponent, rng: rand.New(rand.NewPCG(seed, 3)), lead: newLeader(&Agent{})}
+	g := &shiftGroup{shape: shape, perRank: perRank, exponent: exponent, rng: rand.New(rand.NewPCG(seed, 3)), lead: newLeader(&Agent{log: slog.New(slog.DiscardHandler)})}
 	g.lead.demand = newGroupDemand(shape)
 	g.mixes = g.newMixes()
 	for range 9 {
