--- a/internal/measure/placement/shifts/shifts.go
+++ b/internal/measure/placement/shifts/shifts.go
@@ -57,8 +57,11 @@
 // Result is the outcome of one simulated day.
 type Result struct {
 	MeanSkew, P95Skew float64
-	Changes, Copies   int
-	DecisionTime      time.Duration
+	// Late is the share of the time in passes longer than TargetGap, and OnTime the
+	// share of the finished requests that met no such pass.
+	Late, OnTime    float64
+	Changes, Copies int
+	DecisionTime    time.Duration
 }
 
 // shape returns the shape of the group's maps.
@@ -75,6 +78,8 @@
 type request struct {
 	generation, topic int
 	passesLeft        int
+	// late is true once a pass of the request was longer than TargetGap.
+	late bool
 }
 
 // Simulation is one simulated day of a group.
@@ -89,6 +94,8 @@
 	mixes    [][][]float64
 	requests []request
 	now      time.Duration
+	// finished counts the requests that have ended, onTime those that met no late pass.
+	finished, onTime int
 }
 
 // New returns a simulation with the given seed.
@@ -196,27 +203,42 @@
 	return out
 }
 
-// pass runs one pass of all requests.
-func (s *Simulation) pass() {
+// pass runs one pass of all requests, of the given time.
+func (s *Simulation) pass(took time.Duration) {
 	for i := range s.requests {
-		if s.requests[i].passesLeft--; s.requests[i].passesLeft <= 0 {
-			s.requests[i] = s.newRequest()
+		r := &s.requests[i]
+		r.late = r.late || took > TargetGap
+		if r.passesLeft--; r.passesLeft > 0 {
+			continue
 		}
+		s.finished++
+		if !r.late {
+			s.onTime++
+		}
+		*r = s.newRequest()
 	}
 }
 
 // Timing of the simulated leader.
 const (
 	// decisionPeriod is the time between two decisions.
-	decisionPeriod = 100 * time.Millisecond
-	// observationLag is the age of what a planner sees.
-	observationLag = 150 * time.Millisecond
-	// SwitchPasses is the number of passes of a switch after the weight loads.
-	SwitchPasses = 3
+	decisionPeriod = 50 * time.Millisecond
+	// observationLag is the age of what a planner sees. With decisionPeriod, a shift is
+	// seen about as late as TestShiftIsSeenSoon of rankgroup finds.
+	observationLag = 50 * time.Millisecond
+	// SwitchPasses is the number of passes after the weight loads that the planner expects
+	// a switch to take, as the leader does.
+	SwitchPasses = 2
+	// armTime is the time in which the gate is closed and all ranks are armed. The map
+	// comes into force with the first pass after it.
+	armTime = 40 * time.Millisecond
 	// copySlowdown is the relative increase of the time of a pass while weights
 	// are loaded.
 	copySlowdown = 0.15
 	firstShift   = 2 * time.Second
+	// TargetGap is the target for the pause between two events of an answer. There is
+	// one event in each pass.
+	TargetGap = 120 * time.Millisecond
 )
 
 // pending is a map change in progress.
@@ -231,72 +253,110 @@
 	running []float64
 }
 
+// day is one day of a group with the maps of a planner.
+type day struct {
+	*Simulation
+	planner Planner
+	inForce expertmap.Map
+	change  *pending
+	// seen holds the recent demands, the oldest of which is old enough to be observed.
+	seen      []timedDemand
+	decideAt  time.Duration
+	decisions int
+	result    Result
+}
+
 // Play plays one day of the given length with a planner.
 func Play(g Group, seed uint64, length time.Duration, p Planner) (Result, error) {
-	s := New(g, seed)
 	inForce, err := expertmap.Static(g.shape())
 	if err != nil {
 		return Result{}, err
 	}
 	var (
-		result             Result
-		change             *pending
-		seen               []timedDemand
-		decidedAt          time.Duration
-		skews, weights     []float64
-		totalTime          time.Duration
-		shifted, decisions int
-		ranks              = make([]placement.Rank, g.Ranks)
+		d              = day{Simulation: New(g, seed), planner: p, inForce: inForce}
+		skews, weights []float64
+		totalTime      time.Duration
+		shifted        int
+		ranks          = make([]placement.Rank, g.Ranks)
 	)
-	for s.now < length {
-		if s.now >= firstShift+time.Duration(shifted)*g.Shift {
-			s.shift()
+	for d.now < length {
+		if d.now >= firstShift+time.Duration(shifted)*g.Shift {
+			d.shift()
 			shifted++
 		}
-		demand := s.demand()
-		skew := placement.Skew(inForce, placement.LoadEstimates{Share: demand, Windows: 1}, ranks)
+		if d.change != nil && d.now >= d.change.inForceAt {
+			d.inForce, d.change = d.change.next, nil
+			d.decideAt = max(d.decideAt, d.now+decisionPeriod)
+		}
+		demand := d.demand()
+		d.seen = append(d.seen, timedDemand{at: d.now, running: demand})
+		skew := placement.Skew(d.inForce, placement.LoadEstimates{Share: demand, Windows: 1}, ranks)
 		share := g.Experts.WorkShare
 		pass := time.Duration(float64(g.Pass) * (1 - share + share*skew))
-		if change != nil && s.now < change.loadedAt {
-			pass = time.Duration(float64(pass) * (1 + copySlowdown))
+		slower, err := d.decideDuring(pass)
+		if err != nil {
+			return Result{}, err
 		}
+		pass += slower
 		skews, weights = append(skews, skew), append(weights, pass.Seconds())
 		totalTime += pass
-		seen = append(seen, timedDemand{at: s.now, running: demand})
-		for len(seen) > 1 && seen[1].at <= s.now-observationLag {
-			seen = seen[1:]
-		}
-		if change != nil && s.now >= change.inForceAt {
-			inForce, change = change.next, nil
+		if pass > TargetGap {
+			d.result.Late += pass.Seconds()
 		}
-		if change == nil && s.now-decidedAt >= decisionPeriod {
-			decidedAt = s.now
-			o := Observation{Running: seen[0].running, Pass: pass,
-				Future: func(from, to time.Duration) []float64 { return s.lookAhead(from, to, pass) }}
-			began := time.Now()
-			d, err := p.Decide(inForce, o)
-			result.DecisionTime += time.Since(began)
-			decisions++
-			if err != nil {
-				return Result{}, err
-			}
-			if d.Change {
-				loads := make([]int, g.Ranks)
-				for _, m := range d.Moves {
-					loads[m.Rank]++
-				}
-				loaded := s.now + time.Duration(slices.Max(loads))*g.CopyTime()
-				change = &pending{next: d.Map, loadedAt: loaded, inForceAt: loaded + SwitchPasses*pass}
-				result.Changes++
-				result.Copies += len(d.Moves)
-			}
+		d.pass(pass)
+		d.now += pass
+	}
+	d.result.Late /= totalTime.Seconds()
+	d.result.OnTime = float64(d.onTime) / float64(max(d.finished, 1))
+	d.result.DecisionTime /= time.Duration(max(d.decisions, 1))
+	d.result.MeanSkew, d.result.P95Skew = summary(skews, weights)
+	return d.result, nil
+}
+
+// decideDuring makes the decisions that are due in the next pass and returns the time
+// by which weight loads make it longer.
+func (d *day) decideDuring(pass time.Duration) (slower time.Duration, err error) {
+	loadingFrom, end := d.now, d.now+pass
+	for d.change == nil && d.decideAt < end {
+		at := max(d.decideAt, d.now)
+		d.decideAt = at + decisionPeriod
+		if err := d.decide(at, pass); err != nil {
+			return 0, err
 		}
-		s.pass()
-		s.now += pass
+		loadingFrom = at
+	}
+	if d.change != nil {
+		loading := min(end, d.change.loadedAt) - loadingFrom
+		slower = time.Duration(copySlowdown * float64(max(loading, 0)))
+	}
+	return slower, nil
+}
+
+// decide asks the planner for a map at a time in the pass that begins now.
+func (d *day) decide(at, pass time.Duration) error {
+	for len(d.seen) > 1 && d.seen[1].at <= at-observationLag {
+		d.seen = d.seen[1:]
+	}
+	o := Observation{Running: d.seen[0].running, Pass: pass,
+		Future: func(from, to time.Duration) []float64 {
+			return d.lookAhead(at-d.now+from, at-d.now+to, pass)
+		}}
+	began := time.Now()
+	decision, err := d.planner.Decide(d.inForce, o)
+	d.result.DecisionTime += time.Since(began)
+	d.decisions++
+	if err != nil || !decision.Change {
+		return err
+	}
+	loads := make([]int, d.group.Ranks)
+	for _, m := range decision.Moves {
+		loads[m.Rank]++
 	}
-	result.DecisionTime /= time.Duration(max(decisions, 1))
-	result.MeanSkew, result.P95Skew = summary(skews, weights)
-	return result, nil
+	loaded := at + time.Duration(slices.Max(loads))*d.group.CopyTime()
+	d.change = &pending{next: decision.Map, loadedAt: loaded, inForceAt: loaded + armTime}
+	d.result.Changes++
+	d.result.Copies += len(decision.Moves)
+	return nil
 }
 
 // lookAhead returns the mean demand between two times from now, found by playing
@@ -315,7 +375,7 @@
 			}
 			n++
 		}
-		c.pass()
+		c.pass(pass)
 		c.now += pass
 	}
 	for i := range mean {
