--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// coldBound is the number of requests within a second that a cold endpoint bears: 10 a
+	// coldBound is the number of requests within a second that a cold endpoint sustains: 10 a
 	// second times 1.5 and 5.
 	coldBound = 20
 	// coldSetup is a time after which the gateways have read the tables and may use their
@@ -64,7 +64,7 @@
 		strings.TrimPrefix(gw.servers[e.ID()].URL, "http://"), born, remaining.Milliseconds())))
 }
 
-// crashOnOverload makes an endpoint that gets more requests than it bears close its
+// crashOnOverload makes an endpoint that gets more requests than it sustains close its
 // connections. The returned value is true once it has.
 func crashOnOverload(gw *testGateway, e *endpoint.Endpoint) *atomic.Bool {
 	crashed := &atomic.Bool{}
--- a/pacing/colddomain_test.go
+++ b/pacing/colddomain_test.go
@@ -163,7 +163,7 @@
 }
 
 // TestColdDomainFills plays a failure domain that returns cold while the other endpoints are
-// full: no caller is refused at a load that is below what the domain bears. The bound holds
+// full: no caller is refused at a load that is below what the domain sustains. The bound holds
 // also above that, and then the domain gets requests at the rate that its service states.
 func TestColdDomainFills(t *testing.T) {
 	for _, gateways := range []int{6, 18, 24, 53} {
--- a/pacing/coldslots_test.go
+++ b/pacing/coldslots_test.go
@@ -216,7 +216,7 @@
 func mayLack(n, bound int) int { return min((n+2)/3, bound/3, 6) }
 
 // TestColdBound guards against a cold endpoint that gets more requests within a second than
-// it bears: 1 to 350 nodes with different lists, which lack as many running nodes as is
+// it sustains: 1 to 350 nodes with different lists, which lack as many running nodes as is
 // allowed and hold others that do not run, and with nodes that are added, drifting clocks, freezes,
 // restarts, delayed requests and lost connections.
 func TestColdBound(t *testing.T) {
--- a/pacing/coldstate.go
+++ b/pacing/coldstate.go
@@ -63,7 +63,7 @@
 // coldState is the state of one endpoint.
 type coldState struct {
 	incarnation, revision uint64
-	// listed is false while only another node has told of the endpoint.
+	// listed is false while only another node has reported the endpoint.
 	listed bool
 	// until is the end of the time that was stated last, at statedAt, by cause.
 	until, statedAt time.Time
@@ -178,7 +178,7 @@
 }
 
 // Merge records statements that another node has received, also of endpoints that are not
-// listed yet: a node that has just started may be told before it has the list.
+// listed yet: a node that has just started may get reports before it has the list.
 func (c *ColdStates) Merge(statements []ColdStatement, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pacing/coldstate_test.go
+++ b/pacing/coldstate_test.go
@@ -204,7 +204,7 @@
 }
 
 // TestColdEnds: whatever is learned in whatever order, an endpoint of which nothing more is
-// heard becomes warm after the time of a cold start, and the time left is never negative.
+// known becomes warm after the time of a cold start, and the time left is never negative.
 func TestColdEnds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		states, now := NewColdStates(), time.Unix(1000, 0)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -1,5 +1,5 @@
 // Package pacing keeps the requests that all entry nodes send to an endpoint within the
-// rate that the endpoint states in its answers, or bears while it is cold.
+// rate that the endpoint states in its answers, or sustains while it is cold.
 //
 // From the moment at which an endpoint states a limit, its time is divided into slots, one
 // for each request that it accepts. The entry nodes take turns at the slots, in the order
@@ -16,7 +16,7 @@
 // that entry node. After it the node sends one request, and further ones once that was not
 // refused in the same way. Cooldowns are not exchanged between nodes.
 //
-// A cold endpoint, that is, one that has just started, bears a limited number of requests
+// A cold endpoint, that is, one that has just started, sustains a limited number of requests
 // within a second. ColdSlots bounds them over all entry nodes, also over those that cannot
 // reach each other, and ColdStates holds which endpoints are cold.
 //
--- a/picker/reportpolicy.go
+++ b/picker/reportpolicy.go
@@ -56,7 +56,7 @@
 	// Slowdown is the ratio of the endpoint's actual to its expected time for the same
 	// work; above 1 the endpoint is slower than expected. Values below 1 count as 1.
 	Slowdown float64
-	// Cold is true if the endpoint bears only a limited rate of requests for some time
+	// Cold is true if the endpoint sustains only a limited rate of requests for some time
 	// after its start.
 	Cold bool
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -263,7 +263,7 @@
 }
 
 // TestSkewWithoutEstimates guards against a leader that panics before the first request: it
-// asks for the skew of the initial map while there are no load estimates.
+// computes the skew of the initial map while there are no load estimates.
 func TestSkewWithoutEstimates(t *testing.T) {
 	shape := expertmap.Shape{Layers: 2, Experts: 4, Ranks: 2, Slots: 2}
 	m, err := expertmap.InTurn(shape)
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -78,7 +78,7 @@
 
 // TestInitialMapIsReplacedAtOnce guards against a group that keeps its initial map, with a
 // skew above 3, for the first 0.5 to 1.2 s of its work: while few requests run, a shorter
-// step is worth nothing, but the callers who return after a power failure come within a
+// step gains nothing, but the callers who return after a power failure come within a
 // second. A map that follows the demand is changed only for a gain.
 func TestInitialMapIsReplacedAtOnce(t *testing.T) {
 	const idle, pass, gap = 0.1, 30 * time.Millisecond, 120 * time.Millisecond
--- a/route/route.go
+++ b/route/route.go
@@ -82,7 +82,7 @@
 	MaxConnections int
 	// ColdStart is the longest time for which an endpoint is cold after a start during
 	// traffic. ColdPerSecond is the number of requests per second that a cold endpoint
-	// bears, zero for no limit.
+	// sustains, zero for no limit.
 	ColdStart     time.Duration
 	ColdPerSecond float64
 	// Engine describes the model engines; nil for a plain service.
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -75,7 +75,7 @@
 	// has to close its listener and connections, instead of beginning an answer to a
 	// request with it.
 	DeadlyPart string
-	// Crash is also called when a cold endpoint gets more requests than it bears.
+	// Crash is also called when a cold endpoint gets more requests than it sustains.
 	Crash func()
 
 	mu          sync.Mutex
@@ -166,7 +166,7 @@
 	return e.coldPeak
 }
 
-// recordCold counts an arrival in a cold start and reports whether the endpoint bears it.
+// recordCold counts an arrival in a cold start and reports whether the endpoint sustains it.
 // The caller must hold mu.
 func (e *Endpoint) recordCold(now time.Time) bool {
 	if !now.Before(e.coldUntil) {
@@ -215,12 +215,12 @@
 		w.Header().Set("X-Cold-Ms", strconv.FormatInt(max(time.Until(e.coldUntil).Milliseconds(), 0), 10))
 	}
 	misdirected := r.Header.Get("X-Expect-Instance") != e.id
-	bears := misdirected || e.recordCold(time.Now())
+	accepted := misdirected || e.recordCold(time.Now())
 	retryAfter := e.retryAfter
 	fault := e.selectFault(id, e.arrivals)
 	e.arrivals++
 	e.mu.Unlock()
-	if !bears {
+	if !accepted {
 		e.Crash()
 		panic(http.ErrAbortHandler)
 	}
