gateway: reports on crashes outlast a stop of all gateways

Cause: the facts were in the memory of the gateways only. When all of them stopped at once, a request that crashes endpoints was unknown again and crashed further ones.

Neither readiness nor a request waits for the store.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -46,6 +46,8 @@
 	log      *slog.Logger
 	// changed holds a value while facts of this node wait to be broadcast.
 	changed chan struct{}
+	// unsaved holds a value while the facts may differ from those in the store.
+	unsaved chan struct{}
 }
 
 func newCrashes(node string, n *notes, loads *outstanding.Tracker, log *slog.Logger) *crashes {
@@ -54,16 +56,23 @@
 		// The configuration is constant and valid.
 		panic(err)
 	}
-	c := &crashes{list: list, notes: n, loads: loads, log: log, changed: make(chan struct{}, 1)}
+	c := &crashes{list: list, notes: n, loads: loads, log: log, changed: make(chan struct{}, 1), unsaved: make(chan struct{}, 1)}
 	c.attempts = quarantine.NewAttempts(list, node, c.wake)
 	n.handlers = append(n.handlers, c.handle)
 	return c
 }
 
-// wake causes a broadcast of the facts that the other nodes may not have.
+// wake causes a broadcast of the facts that the other nodes may not have, and a write to the
+// store.
 func (c *crashes) wake() {
+	notify(c.changed)
+	notify(c.unsaved)
+}
+
+// notify puts a value into a channel unless there is one.
+func notify(c chan struct{}) {
 	select {
-	case c.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
+	"github.com/cyclamenpoint/cyclamenpoint/standin/rowstore"
 )
 
 // deadlyEndpoints returns endpoints that crash for good as they begin an answer to a
@@ -119,6 +123,43 @@
 	assert.Equal(t, a.status, 200, a.body)
 }
 
+// TestCrashesOutlastAllGateways guards against requests with a deadly part that crash
+// endpoints again after all gateways have stopped at once.
+func TestCrashesOutlastAllGateways(t *testing.T) {
+	endpoints, install, crashes := deadlyEndpoints(t, 8, "bad")
+	gw := newTestGateway(t, endpoints...)
+	install(gw)
+	send := func(gw *testGateway, i int) {
+		a := gw.call("POST", "/stream/1", fmt.Sprint("deadly ", i), promptHeader, fmt.Sprintf("shared:40,bad:9,own%d:7", i))
+		assert.Assert(t, a.err != nil || a.status != 200)
+	}
+	for i := range 25 {
+		a := gw.call("POST", "/stream/1", "sound", promptHeader, fmt.Sprintf("shared:40,own%d:7", i))
+		assert.Equal(t, a.status, 200, a.body)
+	}
+	send(gw, 0)
+	assert.Equal(t, crashes(), 1)
+	for !strings.Contains(gw.storedCrashes(), "n1") {
+		time.Sleep(time.Millisecond)
+	}
+	gw.gateway.Stop()
+	for i := range 3 {
+		later := &testGateway{t: t, store: gw.store, servers: gw.servers, grace: gw.grace, node: fmt.Sprint("later", i), nextID: 1000 * (i + 1)}
+		later.start(gw.store)
+		later.waitReady()
+		send(later, i+1)
+		later.gateway.Stop()
+	}
+	assert.Equal(t, crashes(), 1)
+}
+
+// storedCrashes returns the table of crashes in the store.
+func (gw *testGateway) storedCrashes() string {
+	w := httptest.NewRecorder()
+	gw.store.ServeHTTP(w, httptest.NewRequest("GET", "/v1/rows-get?table="+platform.TableCrashes+"&part=&limit=500", nil))
+	return w.Body.String()
+}
+
 // TestBrokenConnectionIsNoCrash guards against requests that are held because endpoints
 // reset connections though they are alive.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
@@ -138,3 +179,27 @@
 	a := gw.call("POST", "/stream/1", "x", promptHeader, "shared:40,new:9,own:7")
 	assert.Equal(t, a.status, 200, a.body)
 }
+
+// TestServesWithoutTableOfCrashes guards against a gateway that is not ready, or does not
+// recognise crashes, while the store does not answer for the table of crashes.
+func TestServesWithoutTableOfCrashes(t *testing.T) {
+	endpoints, install, crashes := deadlyEndpoints(t, 8, "bad")
+	gw := &testGateway{t: t, store: rowstore.New(), servers: make(map[string]*httptest.Server), grace: 400 * time.Millisecond, node: "n1"}
+	gw.configure(1, testRoutes())
+	for _, e := range endpoints {
+		gw.addEndpoint(e)
+	}
+	gw.start(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("table") == platform.TableCrashes {
+			<-r.Context().Done()
+			return
+		}
+		gw.store.ServeHTTP(w, r)
+	}))
+	install(gw)
+	gw.waitReady()
+	for i := range 5 {
+		gw.call("POST", "/stream/1", fmt.Sprint("deadly ", i), promptHeader, fmt.Sprintf("shared:40,bad:9,own%d:7", i))
+	}
+	assert.Assert(t, crashes() <= 3, "%d crashes", crashes())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,9 +79,10 @@
 	DecodeEvacuations(c follow.Copy) (domains []string, errs []error)
 }
 
-// Tables holds the names of the store's tables that a gateway follows.
+// Tables holds the names of the store's tables that a gateway uses. Crashes is empty if facts
+// about crashes are not kept.
 type Tables struct {
-	Config, Endpoints, Nodes string
+	Config, Endpoints, Nodes, Crashes string
 }
 
 // Settings configures a gateway.
@@ -237,6 +238,10 @@
 	g.runInBackground(ctx, g.pool.Run)
 	g.runInBackground(ctx, g.memory.Run)
 	g.runInBackground(ctx, g.crashes.run)
+	if s.Tables.Crashes != "" {
+		kept := &crashStore{crashes: g.crashes, store: store, table: s.Tables.Crashes, node: s.Node}
+		g.runInBackground(ctx, kept.run)
+	}
 	g.runInBackground(ctx, g.cold.run)
 	if s.FirstStart {
 		g.notes.synced.Store(true)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -113,7 +113,7 @@
 	gw.address, gw.peerAddress = freeAddress(gw.t), freeAddress(gw.t)
 	return gateway.Start(gateway.Settings{
 		Node: gw.node, FailureDomain: "d1", CallerAddress: gw.address, ReadinessAddress: freeAddress(gw.t), PeerAddress: gw.peerAddress, Seeds: seeds,
-		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
+		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes, Crashes: platform.TableCrashes},
 		RelistPeriod: 2 * time.Second, GracePeriod: gw.grace,
 		Budget: retry.WindowConfig{Ratio: 0.2, Reserve: 1000, Period: 10 * time.Second},
 		Cold:   gw.cold, Memory: gw.memory,
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -168,7 +168,7 @@
 	return gateway.Settings{
 		Node: s.Node, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress,
 		PeerAddress: peerAddress(s, gatewayPortOffset), Seeds: seeds(s),
-		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes},
+		Tables:       gateway.Tables{Config: platform.TableConfig, Endpoints: platform.TableEndpoints, Nodes: platform.TableNodes, Crashes: platform.TableCrashes},
 		FirstStart:   s.FirstStart,
 		RelistPeriod: s.Bounds.RelistPeriod, GracePeriod: s.Bounds.GracePeriod,
 		Budget: retry.WindowConfig{Ratio: s.Bounds.RetryRatio, Reserve: s.Bounds.RetryReserve, Period: s.Bounds.RetryWindow},
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -284,15 +284,7 @@
 	now := time.Now()
 	var facts Facts
 	for key, c := range l.crashes {
-		crash := Crash{
-			ID: key.crash, Reporter: key.reporter, Group: c.group, Established: c.established,
-			Fingerprints: slices.Clone(c.fingerprints), Young: slices.Clone(c.young), YoungParts: slices.Clone(c.youngParts),
-			Remaining: c.expires.Sub(now),
-		}
-		for fp, waited := range c.parts {
-			crash.Parts = append(crash.Parts, WaitingPart{fp, waited})
-		}
-		facts.Crashes = append(facts.Crashes, crash)
+		facts.Crashes = append(facts.Crashes, c.report(key, now))
 	}
 	for key, c := range l.clears {
 		facts.Clears = append(facts.Clears, Clear{Fingerprint: key.fingerprint, Crash: key.crash, By: c.by, Remaining: c.expires.Sub(now)})
@@ -300,6 +292,19 @@
 	return facts
 }
 
+// report returns the fact as other nodes get it.
+func (c crashFact) report(key reportKey, now time.Time) Crash {
+	crash := Crash{
+		ID: key.crash, Reporter: key.reporter, Group: c.group, Established: c.established,
+		Fingerprints: slices.Clone(c.fingerprints), Young: slices.Clone(c.young), YoungParts: slices.Clone(c.youngParts),
+		Remaining: c.expires.Sub(now),
+	}
+	for fp, waited := range c.parts {
+		crash.Parts = append(crash.Parts, WaitingPart{fp, waited})
+	}
+	return crash
+}
+
 // Entries returns the suspect and quarantined contents for operators, the
 // quarantined ones first.
 func (l *List) Entries() []Entry {
