--- a/rankgroup/gate.go
+++ b/rankgroup/gate.go
@@ -37,10 +37,9 @@
 	// engineCallTimeout.
 	armTimeout = 1200 * time.Millisecond
 	// minStepsAhead is the minimum number of steps between the current step and
-	// a switch. With one, the switch comes with the next pass; the passes before it
-	// have the skew of the old map. Plan.ExtraSteps covers groups whose orders take
-	// longer than a pass.
-	minStepsAhead = 1
+	// a switch. With one, the group reaches the gate before all ranks are armed, and the
+	// pass that waits there makes streams late.
+	minStepsAhead = 2
 	// maxHoldAttempts bounds the attempts to close the gate. An attempt fails if its
 	// step begins before the order arrives, which shows within some milliseconds.
 	maxHoldAttempts = 4
