--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -38,6 +38,7 @@
 	"memory":  runMemory,
 	"crowd":   runCrowd,
 	"parts":   runParts,
+	"report":  runReport,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -33,13 +33,13 @@
 	partsLate    = 500 * time.Millisecond
 )
 
-// prompt returns the parts of a prompt in order, with another one in the middle and a last
-// one that belongs to the request alone.
-func prompt(other, last string) string {
-	parts := make([]string, 0, partCount+2)
-	for i := range partCount {
+// prompt returns a number of shared parts of a prompt in order, with another one in the middle
+// and a last one that belongs to the request alone.
+func prompt(count int, other, last string) string {
+	parts := make([]string, 0, count+2)
+	for i := range count {
 		parts = append(parts, strconv.FormatInt(int64(firstPart+i), 16)+":1")
-		if i == partCount/2 && other != "" {
+		if i == count/2 && other != "" {
 			parts = append(parts, other+":1")
 		}
 	}
@@ -52,18 +52,27 @@
 	store   *platformStore
 	id      string
 	address string
+	// prefill is the time until the first event of an answer, restart that from a crash to
+	// the next start.
+	prefill, restart time.Duration
 
 	mu     sync.Mutex
 	server *http.Server
 	conns  map[net.Conn]struct{}
+	// running are the requests without a complete answer.
+	running map[string]bool
+	// cut counts the requests that were running at a crash, besides the cause; deadly holds
+	// the times at which requests with deadlyPart arrived, and crashes those of the crashes.
+	cut             int
+	deadly, crashes []time.Time
 }
 
-func (w *world) startWorker(s *platformStore, id, ip string) (*worker, error) {
+func (w *world) startWorker(s *platformStore, id, ip string, prefill, restart time.Duration) (*worker, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	one := &worker{w: w, store: s, id: id, address: listener.Addr().String()}
+	one := &worker{w: w, store: s, id: id, address: listener.Addr().String(), prefill: prefill, restart: restart, running: make(map[string]bool)}
 	return one, one.serve(listener)
 }
 
@@ -89,11 +98,16 @@
 }
 
 // crash ends the worker as a killed process ends: its port refuses connections, and the open
-// ones are reset. It is back after workerRestart.
+// ones are reset. It is back after a time.
 func (k *worker) crash(request string) {
 	k.mu.Lock()
 	server, conns := k.server, k.conns
 	k.server, k.conns = nil, make(map[net.Conn]struct{})
+	if server != nil {
+		k.crashes = append(k.crashes, time.Now())
+		k.cut += len(k.running) - 1
+		k.running = make(map[string]bool)
+	}
 	k.mu.Unlock()
 	if server == nil {
 		return
@@ -105,7 +119,7 @@
 		}
 	}
 	_ = server.Close()
-	time.AfterFunc(workerRestart, func() {
+	time.AfterFunc(k.restart, func() {
 		listener, err := net.Listen("tcp", k.address)
 		if err != nil {
 			k.w.note("worker %s cannot start again: %v", k.id, err)
@@ -127,8 +141,20 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	time.Sleep(100 * time.Millisecond)
-	if strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+deadlyPart+":") {
+	isDeadly := strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+deadlyPart+":")
+	k.mu.Lock()
+	if isDeadly {
+		k.deadly = append(k.deadly, time.Now())
+	}
+	k.running[id] = true
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.running, id)
+	}()
+	time.Sleep(k.prefill)
+	if isDeadly {
 		k.crash(id)
 		return
 	}
@@ -174,7 +200,7 @@
 		}
 	}
 	for i := range workerCount {
-		if _, err := w.startWorker(s, fmt.Sprintf("i-drafting-%d", i+1), w.ip(4, i)); err != nil {
+		if _, err := w.startWorker(s, fmt.Sprintf("i-drafting-%d", i+1), w.ip(4, i), 100*time.Millisecond, workerRestart); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -204,13 +230,13 @@
 	}
 	every(50*time.Millisecond, func(n int) { orders.batch(ips[n%len(ips)], 1) })
 	every(100*time.Millisecond, func(n int) {
-		drafts.batchWith(ips[n%len(ips)], map[string]string{"X-Prompt-Prefix": prompt("", fmt.Sprintf("a%05x", n))})
+		drafts.batchWith(ips[n%len(ips)], map[string]string{"X-Prompt-Prefix": prompt(partCount, "", fmt.Sprintf("a%05x", n))})
 	})
 	time.Sleep(8 * time.Second)
 	for n := range deadlyRounds {
 		for i, ip := range ips {
 			if w.trouble {
-				deadly.batchWith(ip, map[string]string{"X-Prompt-Prefix": prompt(deadlyPart, fmt.Sprintf("b%04x%d", n, i))})
+				deadly.batchWith(ip, map[string]string{"X-Prompt-Prefix": prompt(partCount, deadlyPart, fmt.Sprintf("b%04x%d", n, i))})
 			}
 		}
 		time.Sleep(deadlyInterval)
