--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -112,6 +112,7 @@
 					return
 				}
 				sentWhole.Add(1)
+				w.note("client sends u%d-%d to %s but for its last byte", crowd, i, ip)
 				time.Sleep(time.Until(end))
 			})
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,11 +6,14 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -119,11 +122,37 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{gateway: gateway, agent: agent, trouble: trouble, dir: dir, began: time.Now(), record: file, net: 64 + os.Getpid()%128}
+	w := &world{gateway: gateway, agent: agent, trouble: trouble, dir: dir, began: time.Now(), record: file}
+	if w.net = freeNet(w); w.net == 0 {
+		return nil, errors.New("no loopback addresses with free ports")
+	}
 	w.note("disruption: %v", trouble)
 	return w, nil
 }
 
+// freeNet returns the second byte of loopback addresses at which the ports of the machines are
+// free, zero if there is none.
+func freeNet(w *world) int {
+	for i := range 128 {
+		w.net = 64 + (os.Getpid()+i)%128
+		if portsFree(w.ip(1, 0)) && portsFree(w.ip(1, 1)) {
+			return w.net
+		}
+	}
+	return 0
+}
+
+func portsFree(ip string) bool {
+	for _, port := range []int{portFront, portReady, portControl, portPeers, portMetrics} {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // ip returns a loopback address of this run. Group separates machines of different kinds.
 func (w *world) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", w.net, group, 1+n) }
 
--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -44,7 +44,6 @@
 	w       *world
 	id      string
 	trouble bool
-	runs    atomic.Int64
 }
 
 // ServeHTTP implements http.Handler.
@@ -58,7 +57,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.runs.Add(1)
+	e.w.note("worker %s runs %s", e.id, id)
 	if e.trouble {
 		e.endless(w)
 		return
@@ -215,7 +214,7 @@
 		count := int(streamRate * burstTime.Seconds())
 		for i := range count {
 			ip := ips[i%len(ips)]
-			streams.Go(func() { events.Add(int64(draft(ip, fmt.Sprintf("s%d-%d", burst, i)))) })
+			streams.Go(func() { events.Add(int64(w.draft(ip, fmt.Sprintf("s%d-%d", burst, i)))) })
 			time.Sleep(burstTime / time.Duration(count))
 		}
 		streams.Wait()
@@ -230,7 +229,8 @@
 
 // draft requests a stream and reads it until it ends or pauses for longer than the client's
 // patience. It returns the number of events.
-func draft(ip, id string) int {
+func (w *world) draft(ip, id string) int {
+	w.note("client sends %s to %s", id, ip)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	gap := time.AfterFunc(patience, cancel)
@@ -246,6 +246,7 @@
 	req.Header.Set("X-Deadline-Ms", "8000")
 	resp, err := client.Do(req)
 	if err != nil {
+		w.note("client gets for %s: %v", id, err)
 		return 0
 	}
 	defer resp.Body.Close()
@@ -256,6 +257,7 @@
 			gap.Reset(patience)
 		}
 	}
+	w.note("client gets for %s: %d, %d events", id, resp.StatusCode, events)
 	return events
 }
 
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -141,6 +141,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	k.w.note("worker %s runs %s", k.id, id)
 	isDeadly := strings.Contains(r.Header.Get("X-Prompt-Prefix"), ","+deadlyPart+":")
 	k.mu.Lock()
 	if isDeadly {
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -51,6 +51,8 @@
 	portFront   = 8227
 	portReady   = 8220
 	portControl = 8229
+	portPeers   = 7340
+	portMetrics = 9464
 )
 
 // settingsText returns the settings file of a machine, with the bounds of the users'
