follow: log the store's eras and the copies that are not used

What operators saw: a loop of 'reading the whole table' whose reads had no visible effect. Cause: the logs named neither the era of an answer, nor a copy that was read and dropped, nor a configuration older than the one in force, so three hypotheses looked alike. Now each has a line of its own, and store_restores_total counts the restores.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -490,6 +490,7 @@
 		return false
 	}
 	if c.AsOf <= cur.AsOf && !first {
+		f.log.Info("copy of a table not used, it is not newer", "table", f.table, "as_of", c.AsOf, "held", cur.AsOf)
 		return false
 	}
 	if c.Changed <= cur.Changed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -268,7 +268,11 @@
 		return
 	}
 	current := g.table.Load()
-	if !ok || (current != nil && cfg.Version <= current.Version()) {
+	if !ok || (current != nil && cfg.Version == current.Version()) {
+		return
+	}
+	if current != nil && cfg.Version < current.Version() {
+		g.log.Warn("the store has an older configuration, keeping the one in force", "config", current.Version(), "stored", cfg.Version, "as_of", c.AsOf)
 		return
 	}
 	g.table.Store(route.NewTable(cfg))
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -152,7 +152,7 @@
 	s, log := env.settings, env.log
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	store := platform.NewStore(s.StoreAddress, storeTransport())
+	store := newStore(s, log)
 	g, err := gateway.Start(env.gatewaySettings(), platform.Protocol{}, store, log)
 	if err != nil {
 		log.Error("cannot start the gateway", "error", err.Error())
@@ -163,6 +163,17 @@
 	return nil
 }
 
+// newStore returns the process's client of the platform's store. It reports restores of the
+// store.
+func newStore(s *platform.Settings, log *slog.Logger) *platform.Store {
+	store := platform.NewStore(s.StoreAddress, storeTransport())
+	store.Eras().OnRestore(func(era uint64) {
+		metric.StoreRestores.Inc()
+		log.Warn("the store has been restored from an earlier copy", "era", era)
+	})
+	return store
+}
+
 func (e *processEnv) gatewaySettings() gateway.Settings {
 	s := e.settings
 	return gateway.Settings{
@@ -210,7 +221,7 @@
 		Node: s.Node, FailureDomain: s.FailureDomain, PeerAddress: peerAddress(s, agentPortOffset), Seeds: seeds(s), Endpoint: s.EndpointAddress,
 		ConfigTable: platform.TableConfig, NodesTable: platform.TableNodes, Service: s.Service,
 		LimitPeers: connlimit.Limiter("peers", env.plan.Peers, gossip.MaxHeadBytes, env.memory, log.Warn),
-	}, platform.NewEngine(s.EndpointAddress, transport), newEngine, platform.NewStore(s.StoreAddress, storeTransport()), platform.Protocol{}.DecodeConfig, log)
+	}, platform.NewEngine(s.EndpointAddress, transport), newEngine, newStore(s, log), platform.Protocol{}.DecodeConfig, log)
 	go env.memory.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -80,6 +80,9 @@
 	// answered again, summed over all followed tables.
 	StoreLost = metrics.NewCounter(prefix + "store_lost_total")
 	StoreBack = metrics.NewCounter(prefix + "store_back_total")
+	// StoreRestores counts how often the store was found to be restored from an earlier
+	// copy of itself.
+	StoreRestores = metrics.NewCounter(prefix + "store_restores_total")
 	// CopiesFromPeers counts the copies of tables fetched from a peer.
 	CopiesFromPeers = metrics.NewCounter(prefix + "copies_from_peers_total")
 	// MapsChanged and MapsFailed count a leader's successful and failed changes of
