gateway: a test of configurations confirmed after a restore of the store, which fails

What callers see: a route that is added after the restore is never served (404). The test store can now be restored to an earlier content; it gives the lost versions out again, in the next era.

--- /dev/null
+++ b/gateway/restore_test.go
@@ -0,0 +1,63 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
+	"github.com/cyclamenpoint/cyclamenpoint/standin/rowstore"
+)
+
+// propagationTime is the time within which a confirmed configuration has to be in force, and
+// settleTime that after a disturbance of the store.
+const (
+	propagationTime = 2 * time.Second
+	settleTime      = 3 * time.Second
+)
+
+// routesWith returns the test routes and one more, for paths below prefix.
+func routesWith(prefix string) []routeConfig {
+	return append(testRoutes(), routeConfig{"name": prefix, "hostname": "h", "prefix": prefix, "kind": "safe", "service": "plain", "timeout_ms": 5000, "max_attempts": 2})
+}
+
+// waitServed waits until requests below a path are served.
+func (gw *testGateway) waitServed(path string, timeout time.Duration) {
+	gw.t.Helper()
+	end := time.Now().Add(timeout)
+	for gw.call("GET", path, "").status != http.StatusOK {
+		assert.Assert(gw.t, time.Now().Before(end), "%s is not served after %s", path, timeout)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestConfigurationConfirmedAfterRestoreIsInForce guards against configurations that are
+// missed because the restored store gives versions out again.
+func TestConfigurationConfirmedAfterRestoreIsInForce(t *testing.T) {
+	for name, overtaken := range map[string]bool{"versions below those known": false, "versions above those known": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gw := newTestGateway(t, endpoint.New("e1"))
+			snapshot := gw.store.Snapshot()
+			gw.configure(2, routesWith("/second/"))
+			gw.waitServed("/second/", propagationTime)
+			gw.store.SetMode(func(string) rowstore.Mode { return rowstore.ServiceUnavailable })
+			gw.store.Restore(snapshot)
+			if overtaken {
+				gw.configure(3, routesWith("/third/"))
+				for i := range 20 {
+					gw.store.Put("other", fmt.Sprint(i), nil)
+				}
+			}
+			gw.store.SetMode(func(string) rowstore.Mode { return rowstore.Normal })
+			if !overtaken {
+				time.Sleep(settleTime)
+				gw.configure(3, routesWith("/third/"))
+			}
+			gw.waitServed("/third/", propagationTime)
+		})
+	}
+}
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -58,7 +59,9 @@
 
 // Store is the stand-in. It is an http.Handler and safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// era counts the restores, from 1.
+	era     uint64
 	version uint64
 	rows    map[string]row
 	changes []row
@@ -70,7 +73,7 @@
 
 // New returns an empty store in Normal mode.
 func New() *Store {
-	return &Store{version: 1, rows: make(map[string]row), mode: func(string) Mode { return Normal }, changed: make(chan struct{})}
+	return &Store{era: 1, version: 1, rows: make(map[string]row), mode: func(string) Mode { return Normal }, changed: make(chan struct{})}
 }
 
 // SetMode sets the function that selects the mode for a caller's IP address.
@@ -104,6 +107,31 @@
 	s.droppedUpTo, s.changes = s.version, nil
 }
 
+// Snapshot is the content of a Store at one version.
+type Snapshot struct {
+	version uint64
+	rows    map[string]row
+}
+
+// Snapshot returns the present content.
+func (s *Store) Snapshot() Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Snapshot{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+// Restore returns to an earlier content. All transactions since then are lost, their versions
+// are given out again, and the next era begins.
+func (s *Store) Restore(to Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.rows = to.version, maps.Clone(to.rows)
+	s.changes = slices.DeleteFunc(slices.Clone(s.changes), func(r row) bool { return r.Version > to.version })
+	s.droppedUpTo = min(s.droppedUpTo, to.version)
+	s.notifyChange()
+}
+
 // notifyChange wakes the pending feed requests. The caller holds the lock.
 func (s *Store) notifyChange() {
 	close(s.changed)
@@ -132,11 +160,20 @@
 	s.notifyChange()
 }
 
+// eraHeader is the header of all answers with the era.
+const eraHeader = "Store-Era"
+
+// setEra sets the header of the era. The caller holds the lock.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
 	s.mu.Lock()
 	mode := s.mode(ip)
+	s.setEra(w)
 	s.mu.Unlock()
 	switch mode {
 	case ServiceUnavailable:
@@ -149,7 +186,7 @@
 		<-r.Context().Done()
 		return
 	case DropAnswers:
-		w = &discardWriter{header: make(http.Header)}
+		w = &discardWriter{header: http.Header{}}
 		defer func() { <-r.Context().Done() }()
 	}
 	switch r.URL.Path {
@@ -188,6 +225,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	page := rowsAnswer{Rows: []row{}, Version: s.version}
 	for _, candidate := range s.rows {
 		if candidate.Table == q.Get("table") && candidate.Part == q.Get("part") && candidate.Key >= q.Get("from") && (q.Get("target") == "" || candidate.Key < q.Get("target")) {
@@ -215,7 +253,9 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		historyDropped, changed := after < s.droppedUpTo, s.changed
+		// A version that was lost in a restore is unknown until it is given out again.
+		unavailable, changed := after < s.droppedUpTo || after > s.version, s.changed
+		s.setEra(w)
 		page := rowsAnswer{Rows: []row{}, Version: s.version}
 		for _, change := range s.changes {
 			if change.Table == q.Get("table") && change.Version > after {
@@ -223,7 +263,7 @@
 			}
 		}
 		s.mu.Unlock()
-		if historyDropped {
+		if unavailable {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -252,6 +292,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	for _, expected := range tx.Expected {
 		if s.rows[mapKey(expected)].Version != expected.Version {
 			writeJSON(w, http.StatusPreconditionFailed, rowsAnswer{Rows: []row{s.rows[mapKey(expected)]}, Version: s.version})
