follow: order states of the store by era and version

The store got two calls every 60 ms from each gateway.

Cause: a version was taken for a state of the store. A restored store goes back and gives versions out again. A copy of a lower version was read after each 410 and dropped, without a pause; once the counter had passed the version that was held, no 410 came, and what had been written below it was in no answer. Peers confirmed each other, because the digest of a copy took the version of a row for its value.

Why it works: a state is a Position, an era and a version, and only positions are compared: in copies, in what gossip exchanges, in confirmations. Changes of another era than that of the copy are none of its changes, so the table is read. The era is learned from every answer, refusals too, and each table of an older era is then read again, within 0.2 s at random. The digest covers the values. If versions fall within one era, that is an error with a backoff. A configuration is still replaced only by one of a higher version of its own, as the restored store has an older one until the operator writes again; one of the same version is applied once an era.

Each of the five new tests in follow fails if its part of the fix is taken out (tried one by one). The log field as_of is now era/version.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -36,28 +38,32 @@
 // Copy is the content of a table at one version of the store.
 type Copy struct {
 	Rows map[string]Row `json:"rows"`
-	// AsOf is the version of the store.
-	AsOf uint64 `json:"as_of"`
+	// AsOf is the state of the store.
+	AsOf Position `json:"as_of"`
 	// Changed orders copies by their content: of two copies with different contents
-	// the newer one has the higher value. It is the version of the latest change of the
+	// the newer one has the higher value. It is the position of the latest change of the
 	// table as far as that is known, and never above AsOf.
-	Changed uint64 `json:"changed"`
-	// digest identifies the content. Changed does not: the removal of a row leaves no
-	// version behind for those who have not received it as a change.
+	Changed Position `json:"changed"`
+	// digest identifies the content of Rows, zero if it is not known. Changed does not
+	// identify it: the removal of a row leaves no version behind for those who have not
+	// received it as a change.
 	digest uint64
 }
 
 // contentDigest returns a hash of the rows, the same for all copies with the same
-// content. The version of a row stands for its value.
+// content. It includes the values, because versions are given out again after a restore.
 func (c Copy) contentDigest() uint64 {
-	var version [8]byte
+	var number [8]byte
 	sum, hash := uint64(0), xxhash.New()
 	for key, row := range c.Rows {
 		hash.Reset()
-		binary.BigEndian.PutUint64(version[:], row.Version)
+		binary.BigEndian.PutUint64(number[:], row.Version)
 		// Write never fails.
-		_, _ = hash.Write(version[:])
+		_, _ = hash.Write(number[:])
+		binary.BigEndian.PutUint64(number[:], uint64(len(key)))
+		_, _ = hash.Write(number[:])
 		_, _ = hash.WriteString(key)
+		_, _ = hash.Write(row.Value)
 		sum += hash.Sum64()
 	}
 	return sum
@@ -76,19 +82,35 @@
 type Source interface {
 	// Read returns the whole table.
 	Read(ctx context.Context, table string) (Copy, error)
-	// Changes returns the changes after a version and the version up to which they
+	// Changes returns the changes after a version and the state up to which they
 	// are complete. If there are none, it waits for the first one up to wait. It
-	// returns a *LostHistoryError if the store no longer keeps these changes.
-	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// returns a *LostHistoryError if the store does not have these changes. If the
+	// era of that state is another one than that of the version, they are no changes of
+	// the content at that version.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Position, error)
+	// Eras returns the eras that answers to any call have shown.
+	Eras() *Eras
 }
 
-// LostHistoryError is returned if the store no longer keeps the requested changes.
-// The whole table must then be read.
+// LostHistoryError is returned if the store does not have the requested changes, because it has
+// discarded them or has been restored. The whole table must then be read.
 type LostHistoryError struct{ Table string }
 
 // Error implements error.
 func (e *LostHistoryError) Error() string { return "changes of table " + e.Table + " have expired" }
 
+// OutdatedError is returned for an answer of the store that is older than an earlier one.
+type OutdatedError struct {
+	Table string
+	// AsOf is the state in the answer, Known the newest known one.
+	AsOf, Known Position
+}
+
+// Error implements error.
+func (e *OutdatedError) Error() string {
+	return fmt.Sprintf("answer about table %s is outdated: as of %s after %s", e.Table, e.AsOf, e.Known)
+}
+
 // Timing holds the intervals and timeouts of a Follower.
 type Timing struct {
 	// PollTimeout is the time for which the store keeps a call of Changes open.
@@ -123,6 +145,9 @@
 	// after a power failure all processes start, and all tables change, at once.
 	fastStartPeriod   = 3 * time.Second
 	fastStartInterval = 100 * time.Millisecond
+	// maxRestoreDelay bounds the random delay after which a process reads its tables again
+	// once the store has been restored, so that not all processes read at once.
+	maxRestoreDelay = 200 * time.Millisecond
 )
 
 // Follower maintains the copy of one table. All methods but Run may be called from
@@ -162,8 +187,8 @@
 // Confirmation says that a copy was complete when the store answered a process.
 type Confirmation struct {
 	Table string `cbor:"table"`
-	// AsOf is the version of the store in its answer.
-	AsOf uint64 `cbor:"as_of"`
+	// AsOf is the state of the store in its answer.
+	AsOf Position `cbor:"as_of"`
 	// Digest identifies the content of the copy.
 	Digest uint64 `cbor:"digest"`
 }
@@ -195,8 +220,8 @@
 	return f.lostAt, f.backAt
 }
 
-// InstallIfNewer installs a peer's copy if its content is newer than the current one,
-// and reports whether it did.
+// InstallIfNewer installs a copy of the store or of a peer if its content is newer than the
+// current one, and reports whether it did.
 func (f *Follower) InstallIfNewer(c Copy) bool {
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
@@ -239,6 +264,9 @@
 
 // Run keeps the copy up to date until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.source.Eras().OnRestore(func(era uint64) {
+		time.AfterFunc(rand.N(maxRestoreDelay), func() { f.catchUp(ctx, era) })
+	})
 	var verify sync.WaitGroup
 	if f.timing.VerifyInterval > 0 {
 		verify.Go(func() { f.verify(ctx) })
@@ -312,6 +340,18 @@
 // Error implements error.
 func (*interruptedError) Error() string { return "call for changes interrupted" }
 
+// catchUp makes the table be read again if the copy is not of the given era yet. The restored
+// store may leave the pending call for changes unanswered.
+func (f *Follower) catchUp(ctx context.Context, era uint64) {
+	switch {
+	case ctx.Err() != nil || f.Current().AsOf.Era >= era:
+	case f.timing.VerifyInterval > 0:
+		f.requestVerification()
+	default:
+		f.interrupt()
+	}
+}
+
 // pollOnce makes one call to the store, which verify may interrupt.
 func (f *Follower) pollOnce(ctx context.Context) error {
 	callCtx, cancel := context.WithCancel(ctx)
@@ -359,7 +399,7 @@
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
 	cur := f.Current()
-	if !f.hasCopy() || c.AsOf < cur.AsOf {
+	if !f.hasCopy() || cur.AsOf.After(c.AsOf) {
 		return
 	}
 	if c.Digest != cur.digest {
@@ -388,12 +428,12 @@
 		if !lost && !f.awaitDue(ctx) {
 			return
 		}
-		before, began := f.Current().digest, time.Now()
+		before, began := f.Current(), time.Now()
 		err := f.verifyOnce(ctx, lost)
 		if err == nil {
 			backoff, lost = f.timing.Backoff, false
 			cur := f.Current()
-			if cur.digest != before {
+			if cur.digest != before.digest || cur.AsOf.Era != before.AsOf.Era {
 				f.interrupt()
 			}
 			f.onVerified(Confirmation{Table: f.table, AsOf: cur.AsOf, Digest: cur.digest})
@@ -445,18 +485,25 @@
 // fetch makes one call to the store, to read the table or its changes.
 func (f *Follower) fetch(ctx context.Context, wait time.Duration) error {
 	cur := f.Current()
-	if !f.hasCopy() {
+	if !f.hasCopy() || cur.AsOf.Era < f.source.Eras().Newest() {
 		return f.read(ctx)
 	}
-	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf, wait)
+	changes, asOf, err := f.source.Changes(ctx, f.table, cur.AsOf.Version, wait)
 	var lost *LostHistoryError
 	if errors.As(err, &lost) {
-		f.log.Info("table changes no longer available, reading the whole table", "table", f.table, "as_of", cur.AsOf)
+		f.log.Info("table changes not available, reading the whole table", "table", f.table, "as_of", cur.AsOf)
 		return f.read(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if err := f.checkEra(asOf); err != nil {
+		return err
+	}
+	if asOf.Era > cur.AsOf.Era {
+		f.log.Info("changes are of another era, reading the whole table", "table", f.table, "as_of", cur.AsOf, "era", asOf.Era)
+		return f.read(ctx)
+	}
 	f.recordAnswer()
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
@@ -464,16 +511,32 @@
 	return nil
 }
 
+// checkEra returns an *OutdatedError if an answer is of an era that is over. It may be late, on
+// another connection than that of the answer that has shown the newer era.
+func (f *Follower) checkEra(asOf Position) error {
+	known := newer(f.Current().AsOf, Position{Era: f.source.Eras().Newest()})
+	if asOf.Era < known.Era {
+		return &OutdatedError{Table: f.table, AsOf: asOf, Known: known}
+	}
+	return nil
+}
+
 func (f *Follower) read(ctx context.Context) error {
+	held := f.Current().AsOf
 	c, err := f.source.Read(ctx, f.table)
 	if err != nil {
 		return err
 	}
+	if err := f.checkEra(c.AsOf); err != nil {
+		return err
+	}
+	if f.hasCopy() && held.After(c.AsOf) {
+		// Versions of one era never fall.
+		return &OutdatedError{Table: f.table, AsOf: c.AsOf, Known: held}
+	}
 	f.recordAnswer()
-	c.Changed = max(c.Changed, c.newestVersion())
-	f.installMu.Lock()
-	defer f.installMu.Unlock()
-	f.install(c)
+	c.Changed = newer(c.Changed, Position{Era: c.AsOf.Era, Version: c.newestVersion()})
+	f.InstallIfNewer(c)
 	return nil
 }
 
@@ -482,22 +545,27 @@
 func (f *Follower) install(c Copy) bool {
 	cur := f.Current()
 	first := !f.hasCopy()
-	c.digest = c.contentDigest()
+	if c.digest == 0 {
+		c.digest = c.contentDigest()
+	}
 	if !first && c.digest == cur.digest {
-		// Both versions of the latest change are bounds for the same content.
-		cur.AsOf, cur.Changed = max(cur.AsOf, c.AsOf), max(cur.Changed, c.Changed)
+		// Both positions of the latest change are bounds for the same content.
+		cur.AsOf, cur.Changed = newer(cur.AsOf, c.AsOf), newer(cur.Changed, c.Changed)
 		f.current.Store(&cur)
 		return false
 	}
-	if c.AsOf <= cur.AsOf && !first {
+	if !c.AsOf.After(cur.AsOf) && !first {
 		f.log.Info("copy of a table not used, it is not newer", "table", f.table, "as_of", c.AsOf, "held", cur.AsOf)
 		return false
 	}
-	if c.Changed <= cur.Changed {
+	if !c.Changed.After(cur.Changed) {
 		// The table was read after changes that are no longer available. The latest one
 		// removed a row, and its version is unknown.
 		c.Changed = c.AsOf
 	}
+	if !first && c.AsOf.Era > cur.AsOf.Era {
+		f.log.Warn("using the table of the restored store", "table", f.table, "as_of", c.AsOf, "held", cur.AsOf, "rows", len(c.Rows))
+	}
 	f.current.Store(&c)
 	if first {
 		close(f.firstCopy)
@@ -541,23 +609,24 @@
 }
 
 // apply returns the copy that results from applying changes to c. Changes that c
-// already contains have no effect.
-func apply(c Copy, changes []Change, asOf uint64) Copy {
-	if asOf <= c.AsOf {
+// already contains have no effect, nor have those of an earlier era.
+func apply(c Copy, changes []Change, asOf Position) Copy {
+	if !asOf.After(c.AsOf) {
 		return c
 	}
-	rows, changed := c.Rows, c.Changed
-	if len(changes) > 0 {
-		rows = make(map[string]Row, len(c.Rows)+len(changes))
-		for key, row := range c.Rows {
-			rows[key] = row
-		}
+	if len(changes) == 0 {
+		c.AsOf = asOf
+		return c
+	}
+	rows, changed := maps.Clone(c.Rows), c.Changed
+	if rows == nil {
+		rows = make(map[string]Row, len(changes))
 	}
 	for _, ch := range changes {
-		if ch.Version <= c.AsOf {
+		if ch.Version <= c.AsOf.Version {
 			continue
 		}
-		changed = max(changed, ch.Version)
+		changed = newer(changed, Position{Era: asOf.Era, Version: ch.Version})
 		if ch.Removed {
 			delete(rows, ch.Key)
 			continue
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,7 +21,10 @@
 
 // fakeStore is a store with one table. It returns only the changes after version kept.
 type fakeStore struct {
+	eras Eras
+
 	mu      sync.Mutex
+	era     uint64
 	version uint64
 	rows    map[string]Row
 	changes []Change
@@ -32,7 +38,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{version: 1, rows: make(map[string]Row), silenced: make(chan struct{})}
+	return &fakeStore{era: 1, version: 1, rows: make(map[string]Row), silenced: make(chan struct{})}
 }
 
 // setSilent makes the store answer no calls that arrive from now on, and with pending
@@ -91,6 +97,30 @@
 	s.kept, s.changes = s.version, nil
 }
 
+// fakeSnapshot is the content of a fakeStore at one version.
+type fakeSnapshot struct {
+	version uint64
+	rows    map[string]Row
+}
+
+func (s *fakeStore) snapshot() fakeSnapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fakeSnapshot{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+// restore returns to an earlier content, whose later versions are given out again.
+func (s *fakeStore) restore(to fakeSnapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.rows = to.version, maps.Clone(to.rows)
+	s.changes = slices.DeleteFunc(slices.Clone(s.changes), func(c Change) bool { return c.Version > to.version })
+	s.kept = min(s.kept, to.version)
+}
+
+func (s *fakeStore) Eras() *Eras { return &s.eras }
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,36 +138,38 @@
 	if s.down {
 		return Copy{}, errDown
 	}
-	c := Copy{Rows: make(map[string]Row), AsOf: s.version}
+	s.eras.Observe(s.era)
+	c := Copy{Rows: make(map[string]Row), AsOf: Position{Era: s.era, Version: s.version}}
 	for k, r := range s.rows {
 		c.Rows[k] = r
 	}
 	return c, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Position, error) {
 	s.mu.Lock()
 	s.calls++
 	silent, silenced := s.silent, s.silenced
 	s.mu.Unlock()
 	end := time.Now().Add(wait)
 	if silent {
-		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+		return nil, Position{}, awaitTimeout(ctx, wait+callTimeout)
 	}
 	for {
 		select {
 		case <-silenced:
-			return nil, 0, awaitTimeout(ctx, time.Until(end)+callTimeout)
+			return nil, Position{}, awaitTimeout(ctx, time.Until(end)+callTimeout)
 		default:
 		}
 		s.mu.Lock()
 		switch {
 		case s.down:
 			s.mu.Unlock()
-			return nil, 0, errDown
-		case after < s.kept:
+			return nil, Position{}, errDown
+		case after < s.kept || after > s.version:
+			s.eras.Observe(s.era)
 			s.mu.Unlock()
-			return nil, 0, &LostHistoryError{Table: table}
+			return nil, Position{}, &LostHistoryError{Table: table}
 		}
 		var newer []Change
 		for _, c := range s.changes {
@@ -145,13 +177,14 @@
 				newer = append(newer, c)
 			}
 		}
-		version := s.version
+		asOf := Position{Era: s.era, Version: s.version}
 		s.mu.Unlock()
 		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 		if len(newer) > 0 || !time.Now().Before(end) {
-			return newer, version, nil
+			s.eras.Observe(asOf.Era)
+			return newer, asOf, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -261,7 +294,7 @@
 		old := f.Current()
 		s.put("a", "2")
 		s.mu.Lock()
-		newer := Copy{Rows: map[string]Row{"a": s.rows["a"]}, AsOf: s.version, Changed: s.version}
+		newer := Copy{Rows: map[string]Row{"a": s.rows["a"]}, AsOf: Position{Era: s.era, Version: s.version}, Changed: Position{Era: s.era, Version: s.version}}
 		s.mu.Unlock()
 		assert.Assert(t, f.InstallIfNewer(newer))
 		assert.Assert(t, !f.InstallIfNewer(old))
@@ -394,7 +427,7 @@
 						mu.Lock()
 						defer mu.Unlock()
 						assert.Check(t, told.Rows == nil || told.digest != c.digest, "notified of the same content again")
-						assert.Check(t, told.Rows == nil || c.Changed > told.Changed, "newer content looks older to peers")
+						assert.Check(t, told.Rows == nil || c.Changed.After(told.Changed), "newer content looks older to peers")
 						told = c
 					})
 					ctx, cancel := context.WithCancel(t.Context())
@@ -412,7 +445,7 @@
 					for key, row := range want.Rows {
 						assert.DeepEqual(t, told.Rows[key], row)
 					}
-					assert.Assert(t, f.Current().Changed <= f.Current().AsOf)
+					assert.Assert(t, !f.Current().Changed.After(f.Current().AsOf))
 				})
 			})
 		}
@@ -427,7 +460,8 @@
 		s.put("a", "1")
 		time.Sleep(time.Second)
 		same := f.Current()
-		same.Changed, same.AsOf = same.AsOf+7, same.AsOf+7
+		same.AsOf.Version += 7
+		same.Changed = same.AsOf
 		assert.Assert(t, !f.InstallIfNewer(same), "the content is not newer")
 		assert.Equal(t, f.Current().Changed, same.Changed)
 	})
@@ -446,12 +480,12 @@
 	s.silent = silent
 }
 
-func (s *partlySilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *partlySilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Position, error) {
 	s.mu.Lock()
 	silent := s.silent
 	s.mu.Unlock()
 	if silent {
-		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+		return nil, Position{}, awaitTimeout(ctx, wait+callTimeout)
 	}
 	return s.fakeStore.Changes(ctx, table, after, wait)
 }
@@ -516,7 +550,9 @@
 		time.Sleep(2 * time.Second)
 		s.setSilent(true, true)
 		f.Confirm(Confirmation{Table: "table", AsOf: old.AsOf, Digest: f.Current().digest})
-		f.Confirm(Confirmation{Table: "table", AsOf: f.Current().AsOf + 1, Digest: old.digest})
+		later := f.Current().AsOf
+		later.Version++
+		f.Confirm(Confirmation{Table: "table", AsOf: later, Digest: old.digest})
 		time.Sleep(verifiedTiming.VerifyInterval + verifyTimeout + time.Millisecond)
 		lostAt, _ := f.OutageTimes()
 		assert.Assert(t, !lostAt.IsZero())
@@ -526,9 +562,9 @@
 // pollSilent is a store that answers only calls that do not wait for a change.
 type pollSilent struct{ *fakeStore }
 
-func (s pollSilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s pollSilent) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Position, error) {
 	if wait > 0 {
-		return nil, 0, awaitTimeout(ctx, wait+callTimeout)
+		return nil, Position{}, awaitTimeout(ctx, wait+callTimeout)
 	}
 	return s.fakeStore.Changes(ctx, table, after, wait)
 }
@@ -555,3 +591,126 @@
 		run.Wait()
 	})
 }
+
+// TestRestoredStore guards against copies that miss rows because a restored store gives
+// versions out again.
+func TestRestoredStore(t *testing.T) {
+	for name, writes := range map[string]int{
+		"below the known version": 0, "up to the known version": 2, "above the known version": 9,
+	} {
+		for _, timing := range []Timing{testTiming, verifiedTiming} {
+			t.Run(name+", verified every "+timing.VerifyInterval.String(), func(t *testing.T) {
+				withTimedFollower(t, timing, func(s *fakeStore, f *Follower) {
+					s.put("a", "1")
+					before := s.snapshot()
+					s.put("a", "2")
+					s.put("lost", "1")
+					time.Sleep(2 * time.Second)
+					s.setDown(true)
+					time.Sleep(2 * time.Second)
+					s.restore(before)
+					for i := range writes {
+						s.put("b", fmt.Sprint(i))
+					}
+					s.setDown(false)
+					calls := s.called()
+					time.Sleep(contactTime)
+					assert.Assert(t, s.called()-calls <= 12, "%d calls after the restore", s.called()-calls)
+					s.put("c", "1")
+					time.Sleep(drainTimeout)
+					assert.DeepEqual(t, f.Current().Rows, s.snapshot().rows)
+				})
+			})
+		}
+	}
+}
+
+// TestVersionOfOtherContent guards against copies that count as the same because a restored
+// store has given out the same versions for other values.
+func TestVersionOfOtherContent(t *testing.T) {
+	withTimedFollower(t, verifiedTiming, func(s *fakeStore, f *Follower) {
+		before := s.snapshot()
+		s.put("a", "1")
+		time.Sleep(2 * time.Second)
+		s.restore(before)
+		s.put("a", "2")
+		time.Sleep(contactTime)
+		assert.Equal(t, string(f.Current().Rows["a"].Value), "2")
+	})
+}
+
+// TestEraIsLearnedFromAnotherTable guards against tables that are read late after a restore
+// because their own call for changes stays unanswered.
+func TestEraIsLearnedFromAnotherTable(t *testing.T) {
+	for _, timing := range []Timing{testTiming, verifiedTiming} {
+		withTimedFollower(t, timing, func(s *fakeStore, f *Follower) {
+			s.put("a", "1")
+			before := s.snapshot()
+			s.put("a", "2")
+			time.Sleep(2 * time.Second)
+			s.setSilent(false, true)
+			s.restore(before)
+			s.eras.Observe(2)
+			time.Sleep(time.Second)
+			assert.Equal(t, string(f.Current().Rows["a"].Value), "1")
+		})
+	}
+}
+
+// delayedStore delays the answer of one read.
+type delayedStore struct {
+	*fakeStore
+	delay chan struct{}
+}
+
+func (s *delayedStore) Read(ctx context.Context, table string) (Copy, error) {
+	c, err := s.fakeStore.Read(ctx, table)
+	if s.delay != nil {
+		<-s.delay
+		s.delay = nil
+	}
+	return c, err
+}
+
+// TestLateAnswerOfEarlierEra guards against a copy from before a restore whose answer arrives
+// after one of the restored store.
+func TestLateAnswerOfEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &delayedStore{fakeStore: newFakeStore(), delay: make(chan struct{})}
+		before := s.snapshot()
+		s.put("a", "1")
+		var told []Copy
+		f := New("table", s, testTiming, slog.New(slog.DiscardHandler), func(c Copy) { told = append(told, c) })
+		ctx, cancel := context.WithCancel(t.Context())
+		var run sync.WaitGroup
+		run.Go(func() { f.Run(ctx) })
+		time.Sleep(time.Second)
+		s.restore(before)
+		s.eras.Observe(2)
+		close(s.delay)
+		time.Sleep(time.Second)
+		cancel()
+		run.Wait()
+		assert.Equal(t, len(told), 1)
+		assert.Equal(t, told[0].AsOf, Position{Era: 2, Version: 1})
+	})
+}
+
+// TestVersionsOfOneEraFall guards against reads without a pause, if the versions of a store go
+// back that shows no other era.
+func TestVersionsOfOneEraFall(t *testing.T) {
+	withTimedFollower(t, verifiedTiming, func(s *fakeStore, f *Follower) {
+		before := s.snapshot()
+		s.put("a", "1")
+		time.Sleep(2 * time.Second)
+		s.restore(before)
+		s.mu.Lock()
+		s.era--
+		s.mu.Unlock()
+		calls := s.called()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, s.called()-calls <= 40, "%d calls in 10 s", s.called()-calls)
+		lostAt, _ := f.OutageTimes()
+		assert.Assert(t, !lostAt.IsZero())
+	})
+}
--- a/follow/history_test.go
+++ b/follow/history_test.go
@@ -31,6 +31,8 @@
 type historyStore struct {
 	*fakeStore
 	rng *rand.Rand
+	// eras are those that this process has seen.
+	eras Eras
 
 	mu sync.Mutex
 	// silent leaves calls that arrive unanswered, refusing fails them, and lost is the
@@ -78,13 +80,30 @@
 		return Copy{}, err
 	}
 	time.Sleep(4 * time.Millisecond)
-	return s.fakeStore.Read(ctx, table)
+	c, err := s.fakeStore.Read(ctx, table)
+	if err == nil {
+		s.eras.Observe(c.AsOf.Era)
+		// An answer may be delayed on its way.
+		time.Sleep(time.Duration(s.random(int64(maxAnswerDelay))))
+	}
+	return c, err
+}
+
+// maxAnswerDelay is the longest time that an answer takes to arrive.
+const maxAnswerDelay = 60 * time.Millisecond
+
+func (s *historyStore) random(n int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Int64N(n)
 }
 
-func (s *historyStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *historyStore) Eras() *Eras { return &s.eras }
+
+func (s *historyStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, Position, error) {
 	cut, err := s.begin(ctx, wait+callTimeout)
 	if err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -103,8 +122,12 @@
 	watch.Wait()
 	select {
 	case <-fell:
-		return nil, 0, awaitTimeout(ctx, wait+callTimeout-time.Since(began))
+		return nil, Position{}, awaitTimeout(ctx, wait+callTimeout-time.Since(began))
 	default:
+		if err == nil {
+			s.eras.Observe(asOf.Era)
+			time.Sleep(time.Duration(s.random(int64(maxAnswerDelay))))
+		}
 		return changes, asOf, err
 	}
 }
--- a/gateway/crashstore.go
+++ b/gateway/crashstore.go
@@ -108,7 +108,7 @@
 	}
 	row, err := json.Marshal(storedCrashes{WrittenMillis: time.Now().UnixMilli(), Crashes: reports})
 	if err == nil {
-		err = s.store.Put(ctx, s.table, s.node, row)
+		_, err = s.store.Put(ctx, s.table, s.node, row)
 	}
 	if err != nil {
 		s.crashes.log.Warn("cannot write the table of crashes", "error", err.Error())
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/evacuation"
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 )
 
@@ -25,7 +26,7 @@
 	mu sync.Mutex
 	// listed holds the failure domains with listed endpoints, nil before the first list.
 	listed map[string]bool
-	asOf   uint64
+	asOf   follow.Position
 	// unknown holds the names that are logged as unknown.
 	unknown map[string]bool
 	// invalid holds the invalid entries that are logged.
@@ -49,7 +50,7 @@
 
 // set applies the evacuations in a copy of their table. errs holds an error for each invalid
 // entry.
-func (e *evacuations) set(requested evacuation.Set, errs []error, asOf uint64) {
+func (e *evacuations) set(requested evacuation.Set, errs []error, asOf follow.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asOf = asOf
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cyclamenpoint/cyclamenpoint/discovery"
 	"github.com/cyclamenpoint/cyclamenpoint/evacuation"
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/forward"
 )
 
@@ -31,7 +32,7 @@
 // taken out of use, and against a service without any endpoint that is refused as evacuated.
 func TestEvacuatedRefusal(t *testing.T) {
 	e := newEvacuations(slog.New(slog.DiscardHandler))
-	e.set(evacuation.NewSet([]string{"a", "b"}), nil, 1)
+	e.set(evacuation.NewSet([]string{"a", "b"}), nil, follow.Position{Version: 1})
 	listed := []discovery.Endpoint{{ID: "1", FailureDomain: "a"}, {ID: "2", FailureDomain: "b"}}
 	_, err := e.remaining(listed)
 	var refused *forward.NoEndpointError
@@ -48,7 +49,7 @@
 // against times that are kept for domains that no longer exist.
 func TestEvacuationEndedAt(t *testing.T) {
 	e := newEvacuations(slog.New(slog.DiscardHandler))
-	set := func(domains ...string) { e.set(evacuation.NewSet(domains), nil, 1) }
+	set := func(domains ...string) { e.set(evacuation.NewSet(domains), nil, follow.Position{Version: 1}) }
 	list := func(domains ...string) {
 		var endpoints []discovery.Endpoint
 		for _, d := range domains {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,8 @@
 // Store reads and writes the platform's tables.
 type Store interface {
 	follow.Source
-	Put(ctx context.Context, table, key string, value []byte) error
+	// Put returns the state of the store after the write.
+	Put(ctx context.Context, table, key string, value []byte) (follow.Position, error)
 }
 
 // Gateway is a running entry node.
@@ -133,13 +134,16 @@
 	memory   *membudget.Budget
 	refusals *connlimit.Reporter
 
-	table             atomic.Pointer[route.Table]
-	endpoints         atomic.Pointer[discovery.Set]
-	loads             *outstanding.Tracker
-	budgets           *forward.RetryBudgets
-	pool              *upstream.Pool
-	forwarder         *forward.Forwarder
-	configFollower    *follow.Follower
+	table          atomic.Pointer[route.Table]
+	endpoints      atomic.Pointer[discovery.Set]
+	loads          *outstanding.Tracker
+	budgets        *forward.RetryBudgets
+	pool           *upstream.Pool
+	forwarder      *forward.Forwarder
+	configFollower *follow.Follower
+	// configEra is the era of the store in which the configuration in force was read. Only
+	// setConfig uses it.
+	configEra         uint64
 	endpointsFollower *follow.Follower
 	registry          *gossip.Registry
 	gossip            *gossip.Gossiper
@@ -257,7 +261,9 @@
 }
 
 // setConfig applies a new configuration and new evacuations, which are rows of the same
-// table. It ignores a configuration that is invalid or not newer than the current one. The
+// table. It ignores a configuration that is invalid or older than the current one: a restored
+// store has an older one until the operators write again. One of the same version is applied
+// once in each era, as it may have another content. The
 // evacuations come first, so that the node serves no request without them after its start.
 func (g *Gateway) setConfig(c follow.Copy) {
 	domains, errs := g.protocol.DecodeEvacuations(c)
@@ -268,7 +274,7 @@
 		return
 	}
 	current := g.table.Load()
-	if !ok || (current != nil && cfg.Version == current.Version()) {
+	if !ok || (current != nil && cfg.Version == current.Version() && c.AsOf.Era == g.configEra) {
 		return
 	}
 	if current != nil && cfg.Version < current.Version() {
@@ -276,6 +282,7 @@
 		return
 	}
 	g.table.Store(route.NewTable(cfg))
+	g.configEra = c.AsOf.Era
 	metric.SetConfigVersion(cfg.Version)
 	g.log.Info("configuration in force", "config", cfg.Version, "routes", len(cfg.Routes), "organisations", len(cfg.Organisations), "as_of", c.AsOf)
 	g.cold.setConfig(cfg)
@@ -301,7 +308,7 @@
 func (g *Gateway) reapplyEndpoints() { g.endpointsFollower.Renotify() }
 
 // installEndpoints replaces the list of endpoints and logs the changes.
-func (g *Gateway) installEndpoints(list []discovery.Endpoint, asOf uint64) {
+func (g *Gateway) installEndpoints(list []discovery.Endpoint, asOf follow.Position) {
 	old, set := g.endpoints.Load(), discovery.NewSet(list)
 	byAddress := make(map[string]string, len(list))
 	for _, e := range list {
--- a/gossip/datagram.go
+++ b/gossip/datagram.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 )
 
 // Load is an agent's report on the endpoint beside it. Like Datagram it is
@@ -33,8 +35,8 @@
 type Datagram struct {
 	_    struct{} `cbor:",toarray"`
 	From string
-	// TableVersions is the version of the sender's copy of each table.
-	TableVersions map[string]uint64
+	// TableVersions is the latest change in the sender's copy of each table.
+	TableVersions map[string]follow.Position
 	Loads         []Load
 	// LeadsGroup is the group that the sender leads, or empty. Rank is the sender's
 	// rank.
--- a/gossip/datagram_test.go
+++ b/gossip/datagram_test.go
@@ -21,7 +21,7 @@
 // truncated ones are rejected.
 func TestEncodeDecode(t *testing.T) {
 	want := Datagram{
-		From: "10.0.0.1:7000", TableVersions: map[string]uint64{"t": 7}, LeadsGroup: "g", Rank: 3,
+		From: "10.0.0.1:7000", TableVersions: map[string]follow.Position{"t": {Era: 2, Version: 7}}, LeadsGroup: "g", Rank: 3,
 		Loads:        []Load{{Endpoint: "10.0.0.2:80", Running: 5, Queued: 2, Group: "g", Rank: 1, GroupReady: true, Slowdown: 2.5, PassTime: 70, PassElapsed: 900}},
 		ExpertDemand: PackCounts([]uint32{0, 4, 9}),
 	}
@@ -193,14 +193,14 @@
 		r := NewRegistry("nodes", nil, n, log, func([]Node) {})
 		r.nodes.Store(&nodes)
 		f := follow.New("t", nil, follow.Timing{}, log, func(follow.Copy) {})
-		assert.Assert(t, f.InstallIfNewer(follow.Copy{Rows: map[string]follow.Row{}, AsOf: 5}))
+		assert.Assert(t, f.InstallIfNewer(follow.Copy{Rows: map[string]follow.Row{}, AsOf: follow.Position{Version: 5}}))
 		g := NewGossiper(n.Address, nil, r, []*follow.Follower{f}, log, func([]Load) {})
 		followers, gossipers = append(followers, f), append(gossipers, g)
 		running.Go(func() { g.Run(ctx) })
 	}
 	confirmed := func() bool {
 		for _, f := range followers[1:] {
-			if f.Current().AsOf != 9 {
+			if f.Current().AsOf.Version != 9 {
 				return false
 			}
 		}
@@ -208,7 +208,7 @@
 	}
 	// Not all of them may listen yet when the first ones are sent.
 	for !confirmed() {
-		gossipers[0].broadcastConfirmation(follow.Confirmation{Table: "t", AsOf: 9})
+		gossipers[0].broadcastConfirmation(follow.Confirmation{Table: "t", AsOf: follow.Position{Version: 9}})
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -227,3 +227,30 @@
 		assert.Equal(t, agents[len(agents)-1].Name, "c")
 	}
 }
+
+// TestCopyOfLaterEraIsFetched guards against a process without access to the store that keeps a
+// copy from before a restore because its version is higher.
+func TestCopyOfLaterEraIsFetched(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	log := slog.New(slog.DiscardHandler)
+	nodes := []Node{{Name: "a", Kind: KindEntry, Address: freeAddress(t)}, {Name: "b", Kind: KindEntry, Address: freeAddress(t)}}
+	positions := []follow.Position{{Era: 1, Version: 65}, {Era: 2, Version: 64}}
+	var followers []*follow.Follower
+	for i, n := range nodes {
+		r := NewRegistry("nodes", nil, n, log, func([]Node) {})
+		r.nodes.Store(&nodes)
+		f := follow.New("t", nil, follow.Timing{}, log, func(follow.Copy) {})
+		rows := map[string]follow.Row{"k": {Key: "k", Value: []byte{byte(i)}, Version: 60}}
+		assert.Assert(t, f.InstallIfNewer(follow.Copy{Rows: rows, AsOf: positions[i], Changed: positions[i]}))
+		g := NewGossiper(n.Address, nil, r, []*follow.Follower{f}, log, func([]Load) {})
+		followers = append(followers, f)
+		running.Go(func() { g.Run(ctx) })
+	}
+	for followers[0].Current().AsOf != positions[1] {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, followers[1].Current().AsOf, positions[1])
+}
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -13,13 +13,13 @@
 
 // FuzzDatagram: no datagram ends the process, whatever its first byte says it is.
 func FuzzDatagram(f *testing.F) {
-	data, err := Datagram{From: "10.0.0.1:7000", TableVersions: map[string]uint64{"t": 7}, ExpertDemand: PackCounts([]uint32{0, 4, 9})}.encode(forReceiver)
+	data, err := Datagram{From: "10.0.0.1:7000", TableVersions: map[string]follow.Position{"t": {Era: 2, Version: 7}}, ExpertDemand: PackCounts([]uint32{0, 4, 9})}.encode(forReceiver)
 	assert.NilError(f, err)
 	f.Add(data)
 	for audience := range byte(8) {
 		f.Add([]byte{audience})
 		f.Add([]byte{audience, 0x9f, 0xff})
-		f.Add([]byte{audience, 0xa3, 0x65, 't', 'a', 'b', 'l', 'e', 0x61, 't', 0x65, 'a', 's', '_', 'o', 'f', 0x09})
+		f.Add([]byte{audience, 0xa3, 0x65, 't', 'a', 'b', 'l', 'e', 0x61, 't', 0x65, 'a', 's', '_', 'o', 'f', 0x82, 0x00, 0x09})
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	r := NewRegistry("nodes", nil, Node{}, log, func([]Node) {})
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -211,7 +211,7 @@
 
 // Versions returns a datagram with the version of each of this process's copies.
 func (g *Gossiper) Versions() Datagram {
-	d := Datagram{From: g.address, TableVersions: make(map[string]uint64, len(g.followers))}
+	d := Datagram{From: g.address, TableVersions: make(map[string]follow.Position, len(g.followers))}
 	for table, f := range g.followers {
 		d.TableVersions[table] = f.Current().Changed
 	}
@@ -420,7 +420,7 @@
 	defer g.mu.Unlock()
 	for table, changed := range d.TableVersions {
 		f := g.followers[table]
-		if f == nil || changed <= f.Current().Changed {
+		if f == nil || !changed.After(f.Current().Changed) {
 			continue
 		}
 		if g.behindSince[table].IsZero() {
@@ -503,7 +503,7 @@
 // serveCopies responds with the copies that are newer than the versions in the
 // request.
 func (g *Gossiper) serveCopies(w http.ResponseWriter, r *http.Request) {
-	var known map[string]uint64
+	var known map[string]follow.Position
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxDatagramBytes)).Decode(&known); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -515,7 +515,7 @@
 	defer g.copiesSent.Release(1)
 	newer := make(map[string]follow.Copy)
 	for table, f := range g.followers {
-		if c := f.Current(); c.Changed > known[table] {
+		if c := f.Current(); c.Changed.After(known[table]) {
 			newer[table] = c
 		}
 	}
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -50,7 +50,8 @@
 // Store reads and writes the platform's tables.
 type Store interface {
 	follow.Source
-	Put(ctx context.Context, table, key string, value []byte) error
+	// Put returns the state of the store after the write.
+	Put(ctx context.Context, table, key string, value []byte) (follow.Position, error)
 }
 
 const (
@@ -199,7 +200,7 @@
 			return
 		}
 		if err == nil {
-			err = r.store.Put(ctx, r.table, self.Name, value)
+			_, err = r.store.Put(ctx, r.table, self.Name, value)
 		}
 		if err == nil {
 			r.log.Info("registered this process", "name", self.Name, "address", self.Address, "group", self.Group, "rank", self.Rank)
--- a/rankgroup/lead_test.go
+++ b/rankgroup/lead_test.go
@@ -193,7 +193,7 @@
 type fixedNodeStore []gossip.Node
 
 func (f fixedNodeStore) Read(context.Context, string) (follow.Copy, error) {
-	c := follow.Copy{Rows: make(map[string]follow.Row), AsOf: 1, Changed: 1}
+	c := follow.Copy{Rows: make(map[string]follow.Row), AsOf: follow.Position{Version: 1}, Changed: follow.Position{Version: 1}}
 	for _, n := range f {
 		value, err := json.Marshal(n)
 		if err != nil {
@@ -204,12 +204,16 @@
 	return c, nil
 }
 
-func (f fixedNodeStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]follow.Change, uint64, error) {
+func (f fixedNodeStore) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) ([]follow.Change, follow.Position, error) {
 	<-ctx.Done()
-	return nil, after, ctx.Err()
+	return nil, follow.Position{Version: after}, ctx.Err()
 }
 
-func (f fixedNodeStore) Put(context.Context, string, string, []byte) error { return nil }
+func (f fixedNodeStore) Eras() *follow.Eras { return &follow.Eras{} }
+
+func (f fixedNodeStore) Put(context.Context, string, string, []byte) (follow.Position, error) {
+	return follow.Position{Version: 1}, nil
+}
 
 // TestLeaderNotifiesRanksFirst: load reports that fill a link must not make the
 // ranks lose their leader. So each rank gets a datagram of the leader before
