follow: random histories with restores of the store

Nothing of what the histories played lost a transaction, so none could find versions that are given out again. The old histories keep their seeds and their bound.

--- a/follow/history_test.go
+++ b/follow/history_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,9 @@
 	// know the changes again, and drainTimeout the time within which it has to know one.
 	contactTime  = 3 * time.Second
 	drainTimeout = 2 * time.Second
+	// rewriteTime is the time after a restore within which the writers write again what the
+	// store has lost.
+	rewriteTime = 2 * time.Second
 )
 
 // historyStore is the access of one process to the store, which may be disturbed.
@@ -33,6 +37,8 @@
 	rng *rand.Rand
 	// eras are those that this process has seen.
 	eras Eras
+	// delays makes answers take up to maxAnswerDelay, hideEras makes all show the same era.
+	delays, hideEras bool
 
 	mu sync.Mutex
 	// silent leaves calls that arrive unanswered, refusing fails them, and lost is the
@@ -82,9 +88,7 @@
 	time.Sleep(4 * time.Millisecond)
 	c, err := s.fakeStore.Read(ctx, table)
 	if err == nil {
-		s.eras.Observe(c.AsOf.Era)
-		// An answer may be delayed on its way.
-		time.Sleep(time.Duration(s.random(int64(maxAnswerDelay))))
+		c.AsOf = s.deliver(c.AsOf)
 	}
 	return c, err
 }
@@ -92,10 +96,19 @@
 // maxAnswerDelay is the longest time that an answer takes to arrive.
 const maxAnswerDelay = 60 * time.Millisecond
 
-func (s *historyStore) random(n int64) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rng.Int64N(n)
+// deliver brings an answer to the process and returns the position that it shows.
+func (s *historyStore) deliver(asOf Position) Position {
+	if s.hideEras {
+		asOf.Era = 1
+	}
+	s.eras.Observe(asOf.Era)
+	if s.delays {
+		s.mu.Lock()
+		delay := time.Duration(s.rng.Int64N(int64(maxAnswerDelay)))
+		s.mu.Unlock()
+		time.Sleep(delay)
+	}
+	return asOf
 }
 
 func (s *historyStore) Eras() *Eras { return &s.eras }
@@ -125,13 +138,61 @@
 		return nil, Position{}, awaitTimeout(ctx, wait+callTimeout-time.Since(began))
 	default:
 		if err == nil {
-			s.eras.Observe(asOf.Era)
-			time.Sleep(time.Duration(s.random(int64(maxAnswerDelay))))
+			asOf = s.deliver(asOf)
 		}
 		return changes, asOf, err
 	}
 }
 
+// writers are those of the rows in a history. They write again what the store loses.
+type writers struct {
+	table *fakeStore
+	// values holds the values of the rows that are to be listed, writes counts the writes.
+	values map[string]string
+	writes int
+	// changedAt holds the time of the latest change of each row.
+	changedAt map[string]time.Time
+	snapshots []fakeSnapshot
+}
+
+func (w *writers) put(key string) {
+	w.writes++
+	w.values[key] = fmt.Sprint(w.writes)
+	w.table.put(key, w.values[key])
+	w.changedAt[key] = time.Now()
+}
+
+func (w *writers) remove(key string) {
+	if _, listed := w.values[key]; listed {
+		delete(w.values, key)
+		w.table.remove(key)
+		w.changedAt[key] = time.Now()
+	}
+}
+
+// restore returns the table to an earlier content.
+func (w *writers) restore(to fakeSnapshot) {
+	w.table.restore(to)
+	for key := range w.changedAt {
+		w.changedAt[key] = time.Now()
+	}
+}
+
+// rewrite writes a row again if the table holds another one.
+func (w *writers) rewrite(key string) {
+	value, want := w.values[key]
+	row, listed := w.table.snapshot().rows[key]
+	switch {
+	case want && (!listed || string(row.Value) != value):
+		w.table.put(key, value)
+	case !want && listed:
+		w.table.remove(key)
+	default:
+		return
+	}
+	w.changedAt[key] = time.Now()
+}
+
 // process is one process of a history.
 type process struct {
 	name  string
@@ -150,21 +211,42 @@
 func TestRandomHistories(t *testing.T) {
 	for seed := *firstHistory; seed < *firstHistory+uint64(*historyCount); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playHistory(t, seed, verifiedTiming) })
+			synctest.Test(t, func(t *testing.T) { playHistory(t, history{seed: seed, timing: verifiedTiming}) })
 		})
 	}
 }
 
-func playHistory(t *testing.T, seed uint64, timing Timing) {
+// TestRandomHistoriesWithRestores adds restores of the store to the histories, and answers that
+// take their time.
+func TestRandomHistoriesWithRestores(t *testing.T) {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*historyCount); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playHistory(t, history{seed: seed, timing: verifiedTiming, restores: true}) })
+		})
+	}
+}
+
+// history are the parameters of a random history.
+type history struct {
+	seed     uint64
+	timing   Timing
+	restores bool
+	// hideEras makes all answers show the same era.
+	hideEras bool
+}
+
+func playHistory(t *testing.T, h history) {
 	const length = 60 * time.Second
-	rng := rand.New(rand.NewPCG(seed, 1))
+	rng := rand.New(rand.NewPCG(h.seed, 1))
 	table := newFakeStore()
 	processes := make([]*process, 1+rng.IntN(6))
 	ctx, cancel := context.WithCancel(context.Background())
 	var run sync.WaitGroup
 	for i := range processes {
-		p := &process{name: fmt.Sprint(i), store: &historyStore{fakeStore: table, rng: rand.New(rand.NewPCG(seed, uint64(100+i))), cutAt: make(chan struct{})}}
-		p.f = New("table", p.store, timing, slog.New(slog.DiscardHandler), func(c Copy) {
+		p := &process{name: fmt.Sprint(i), store: &historyStore{
+			fakeStore: table, rng: rand.New(rand.NewPCG(h.seed, uint64(100+i))), cutAt: make(chan struct{}), delays: h.restores, hideEras: h.hideEras,
+		}}
+		p.f = New("table", p.store, h.timing, slog.New(slog.DiscardHandler), func(c Copy) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.told = c
@@ -182,18 +264,20 @@
 		run.Go(func() { p.f.Run(ctx) })
 	}
 	time.Sleep(time.Second)
-	// changedAt holds the time of the latest change of each row.
-	changedAt := make(map[string]time.Time)
+	w := &writers{table: table, values: make(map[string]string), changedAt: make(map[string]time.Time)}
+	// later holds steps that return true once they have been taken.
+	var later []func() bool
 	end := time.Now().Add(length)
 	nextEvent := time.Now()
 	for time.Now().Before(end) {
 		if !time.Now().Before(nextEvent) {
-			injectEvent(rng, table, processes, changedAt)
+			later = append(later, injectEvent(rng, h.restores, w, processes)...)
 			nextEvent = time.Now().Add(time.Duration(rng.Int64N(int64(1500 * time.Millisecond))))
 		}
 		time.Sleep(20 * time.Millisecond)
+		later = slices.DeleteFunc(later, func(step func() bool) bool { return step() })
 		for _, p := range processes {
-			if !p.check(t, table, changedAt) {
+			if !p.check(t, table, w.changedAt) {
 				end = time.Now()
 			}
 		}
@@ -203,23 +287,20 @@
 	time.Sleep(time.Second)
 }
 
-// injectEvent makes a random change or disturbance.
-func injectEvent(rng *rand.Rand, table *fakeStore, processes []*process, changedAt map[string]time.Time) {
+// injectEvent makes a random change or disturbance. It returns steps to be taken later.
+func injectEvent(rng *rand.Rand, restores bool, w *writers, processes []*process) (later []func() bool) {
+	w.snapshots = append(w.snapshots, w.table.snapshot())
 	key := string(rune('a' + rng.IntN(6)))
+	if restores && rng.IntN(12) == 0 {
+		return injectRestore(rng, w, processes)
+	}
 	switch rng.IntN(10) {
 	case 0, 1, 2:
-		table.put(key, "1")
-		changedAt[key] = time.Now()
+		w.put(key)
 	case 3, 4:
-		table.mu.Lock()
-		_, listed := table.rows[key]
-		table.mu.Unlock()
-		if listed {
-			table.remove(key)
-			changedAt[key] = time.Now()
-		}
+		w.remove(key)
 	case 5:
-		table.dropHistory()
+		w.table.dropHistory()
 	default:
 		silent, refusing, lost, cut := rng.IntN(2) == 0, rng.IntN(4) == 0, 0.0, rng.IntN(2) == 0
 		if rng.IntN(3) == 0 {
@@ -237,6 +318,39 @@
 			}
 		}
 	}
+	return nil
+}
+
+// injectRestore takes the store away for a random time and restores it from one of the latest
+// snapshots. What was lost is written again, row by row.
+func injectRestore(rng *rand.Rand, w *writers, processes []*process) (later []func() bool) {
+	at := func(when time.Time, step func()) {
+		later = append(later, func() bool {
+			if time.Now().Before(when) {
+				return false
+			}
+			step()
+			return true
+		})
+	}
+	away := time.Duration(rng.Int64N(int64(3 * time.Second)))
+	silent, cut := rng.IntN(2) == 0, rng.IntN(2) == 0
+	for _, p := range processes {
+		p.store.disturb(silent, !silent, 0, cut)
+		time.AfterFunc(away, func() { p.store.disturb(false, false, 0, false) })
+	}
+	age := rng.IntN(min(len(w.snapshots), 8))
+	snapshot := w.snapshots[len(w.snapshots)-1-age]
+	restoredAt := time.Now().Add(away / 2)
+	at(restoredAt, func() {
+		w.restore(snapshot)
+		// Those that were taken later are not of this era.
+		w.snapshots = w.snapshots[:0]
+	})
+	for key := range 6 {
+		at(restoredAt.Add(time.Duration(rng.Int64N(int64(rewriteTime)))), func() { w.rewrite(string(rune('a' + key))) })
+	}
+	return later
 }
 
 // check compares the copy that the process was notified of with the table.
@@ -261,7 +375,7 @@
 		}
 		row, listed := table.rows[key]
 		told, known := p.told.Rows[key]
-		if listed != known || listed && told.Version != row.Version {
+		if listed != known || listed && (told.Version != row.Version || string(told.Value) != string(row.Value)) {
 			t.Errorf("process %s, %s after the change of row %s and %s after the latest disturbance: listed %t, in the copy %t",
 				p.name, time.Since(at), key, time.Since(since), listed, known)
 			return false
@@ -278,10 +392,26 @@
 	found := 0
 	for seed := range uint64(20) {
 		probe := &testing.T{}
-		synctest.Test(t, func(*testing.T) { playHistory(probe, seed, unverified) })
+		synctest.Test(t, func(*testing.T) { playHistory(probe, history{seed: seed, timing: unverified}) })
 		if probe.Failed() {
 			found++
 		}
 	}
 	assert.Assert(t, found > 10, "%d of 20", found)
 }
+
+// TestHistoriesFindVersionsTakenForStates checks the checker: without eras some histories with
+// restores fail.
+func TestHistoriesFindVersionsTakenForStates(t *testing.T) {
+	found := 0
+	for seed := range uint64(40) {
+		probe := &testing.T{}
+		synctest.Test(t, func(*testing.T) {
+			playHistory(probe, history{seed: seed, timing: verifiedTiming, restores: true, hideEras: true})
+		})
+		if probe.Failed() {
+			found++
+		}
+	}
+	assert.Assert(t, found > 0, "none of 40")
+}
