follow: keep rows that a restored store has lost until they can be written again

What callers would see: after a restore, requests reach a failure domain whose evacuation was lost, and gateways whose rows were lost leave the list of processes, so that the others take their shares of retry budgets, rate limits and cold slots.

Cause: a row that is missing from the restored table was taken for one that its writer has removed. Operators and processes write their rows again, but some moments later.

Why it works: with the first copy of another era the rows that only the former one had are retained. One that is written again, or written and removed, is no longer retained; the others end with the first answer of the store, or a peer's confirmation of one, after 5 s (evacuations) or 10 s (processes). A process without access to the store keeps them, since it cannot know. A second restore prolongs the time. An evacuation is thus lifted only on confirmation, and begins at once.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -44,12 +44,42 @@
 	// the newer one has the higher value. It is the position of the latest change of the
 	// table as far as that is known, and never above AsOf.
 	Changed Position `json:"changed"`
+	// Retained holds the rows that the store has lost in a restore, until they are written
+	// again, or until the first answer of the store after Timing.RetainLost. Copies for peers do not contain it.
+	Retained map[string]Row `json:"-"`
 	// digest identifies the content of Rows, zero if it is not known. Changed does not
 	// identify it: the removal of a row leaves no version behind for those who have not
 	// received it as a change.
 	digest uint64
 }
 
+// WithRetained returns a copy whose Rows include those of Retained.
+func (c Copy) WithRetained() Copy {
+	if len(c.Retained) == 0 {
+		return c
+	}
+	rows := maps.Clone(c.Retained)
+	maps.Copy(rows, c.Rows)
+	return Copy{Rows: rows, AsOf: c.AsOf, Changed: c.Changed}
+}
+
+// lost returns the rows of c, and those retained in it that are missing from rows.
+func (c Copy) lost(rows map[string]Row) map[string]Row {
+	var missing map[string]Row
+	for _, known := range []map[string]Row{c.Retained, c.Rows} {
+		for key, row := range known {
+			if _, ok := rows[key]; ok {
+				continue
+			}
+			if missing == nil {
+				missing = make(map[string]Row)
+			}
+			missing[key] = row
+		}
+	}
+	return missing
+}
+
 // contentDigest returns a hash of the rows, the same for all copies with the same
 // content. It includes the values, because versions are given out again after a restore.
 func (c Copy) contentDigest() uint64 {
@@ -128,6 +158,9 @@
 	// unanswered, and nothing shows that changes are missing. With zero only the
 	// timeout of the call ends this.
 	VerifyInterval time.Duration
+	// RetainLost is the time for which rows that the store has lost in a restore stay in
+	// Copy.Retained. Their writers write them again, but not all at once.
+	RetainLost time.Duration
 }
 
 // MaxBackoff is the maximum delay after a failed call. Changes during an outage are
@@ -164,6 +197,8 @@
 
 	// installMu serializes the installation of copies.
 	installMu sync.Mutex
+	// retainUntil is the end of the retention of lost rows. installMu guards it.
+	retainUntil time.Time
 
 	mu sync.Mutex
 	// lostAt is the time when the store stopped responding, or zero while it
@@ -225,6 +260,7 @@
 func (f *Follower) InstallIfNewer(c Copy) bool {
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
+	c.Retained = f.Current().Retained
 	return f.install(c)
 }
 
@@ -406,11 +442,13 @@
 		f.requestVerification()
 		return
 	}
+	f.recordRestore(cur.AsOf, c.AsOf)
 	cur.AsOf = c.AsOf
 	f.current.Store(&cur)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.verifiedAt = time.Now()
+	f.mu.Unlock()
+	f.dropRetained()
 }
 
 // verify makes sure that the store has answered this process, or a peer with the same
@@ -549,9 +587,11 @@
 		c.digest = c.contentDigest()
 	}
 	if !first && c.digest == cur.digest {
+		f.recordRestore(cur.AsOf, c.AsOf)
 		// Both positions of the latest change are bounds for the same content.
 		cur.AsOf, cur.Changed = newer(cur.AsOf, c.AsOf), newer(cur.Changed, c.Changed)
 		f.current.Store(&cur)
+		f.dropRetained()
 		return false
 	}
 	if !c.AsOf.After(cur.AsOf) && !first {
@@ -563,8 +603,9 @@
 		// removed a row, and its version is unknown.
 		c.Changed = c.AsOf
 	}
-	if !first && c.AsOf.Era > cur.AsOf.Era {
-		f.log.Warn("using the table of the restored store", "table", f.table, "as_of", c.AsOf, "held", cur.AsOf, "rows", len(c.Rows))
+	if !first {
+		f.recordRestore(cur.AsOf, c.AsOf)
+		f.retainLost(cur, &c)
 	}
 	f.current.Store(&c)
 	if first {
@@ -574,6 +615,56 @@
 	return true
 }
 
+// retainLost sets the retained rows of the next copy. Rows that are missing from a later copy of
+// the same era have been removed. The caller must hold installMu.
+func (f *Follower) retainLost(cur Copy, next *Copy) {
+	if next.AsOf.Era == cur.AsOf.Era {
+		next.Retained = Copy{Rows: next.Retained}.lost(next.Rows)
+		if f.retentionOver() {
+			next.Retained = nil
+		}
+		return
+	}
+	next.Retained = nil
+	if f.timing.RetainLost > 0 {
+		next.Retained = cur.lost(next.Rows)
+	}
+	f.log.Warn("using the table of the restored store", "table", f.table, "as_of", next.AsOf, "held", cur.AsOf, "rows", len(next.Rows), "retained", len(next.Retained))
+}
+
+// dropRetained ends the retention of lost rows if it is over. The caller must hold installMu.
+func (f *Follower) dropRetained() {
+	cur := f.Current()
+	if len(cur.Retained) == 0 || !f.retentionOver() {
+		return
+	}
+	f.log.Warn("lost rows have not been written again", "table", f.table, "rows", len(cur.Retained))
+	cur.Retained = nil
+	f.current.Store(&cur)
+	f.onChange(cur)
+}
+
+// retentionOver reports whether the store has answered since the end of the retention. A process
+// without access to the store cannot know what has been written again.
+func (f *Follower) retentionOver() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.verifiedAt.After(f.retainUntil)
+}
+
+// recordRestore records that the store has been restored, if the next position is of another
+// era. Like an outage, that may have removed entries of running processes. The caller must hold
+// installMu.
+func (f *Follower) recordRestore(held, next Position) {
+	if next.Era <= held.Era {
+		return
+	}
+	f.retainUntil = time.Now().Add(f.timing.RetainLost)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backAt = time.Now()
+}
+
 // recordLoss records that a call that began at the given time has failed, and logs that
 // the store is lost.
 func (f *Follower) recordLoss(ctx context.Context, began time.Time, err error) {
@@ -618,7 +709,7 @@
 		c.AsOf = asOf
 		return c
 	}
-	rows, changed := maps.Clone(c.Rows), c.Changed
+	rows, retained, changed := maps.Clone(c.Rows), maps.Clone(c.Retained), c.Changed
 	if rows == nil {
 		rows = make(map[string]Row, len(changes))
 	}
@@ -629,9 +720,10 @@
 		changed = newer(changed, Position{Era: asOf.Era, Version: ch.Version})
 		if ch.Removed {
 			delete(rows, ch.Key)
+			delete(retained, ch.Key)
 			continue
 		}
 		rows[ch.Key] = ch.Row
 	}
-	return Copy{Rows: rows, AsOf: asOf, Changed: changed}
+	return Copy{Rows: rows, AsOf: asOf, Changed: changed, Retained: retained}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,13 +171,17 @@
 var (
 	// configTiming applies a new configuration at once. A long poll without changes
 	// costs the store little.
-	configTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 50 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: verifyInterval}
+	configTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 50 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: verifyInterval, RetainLost: retainEvacuations}
 	// endpointTiming batches the changes of many endpoints into one call. MinInterval
 	// must stay well below the time within which a leaving endpoint must no longer
 	// get requests.
 	endpointTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: 900 * time.Millisecond, Backoff: 300 * time.Millisecond, VerifyInterval: verifyInterval}
 )
 
+// retainEvacuations is the time for which an evacuation stays in force that the store has lost
+// in a restore. The operators write it again within about two seconds.
+const retainEvacuations = 5 * time.Second
+
 // verifyInterval must stay below the time within which a configuration has to be in
 // force and a leaving endpoint must no longer get requests.
 const verifyInterval = 1500 * time.Millisecond
@@ -266,7 +270,7 @@
 // once in each era, as it may have another content. The
 // evacuations come first, so that the node serves no request without them after its start.
 func (g *Gateway) setConfig(c follow.Copy) {
-	domains, errs := g.protocol.DecodeEvacuations(c)
+	domains, errs := g.protocol.DecodeEvacuations(c.WithRetained())
 	g.evacuations.set(evacuation.NewSet(domains), errs, c.AsOf)
 	cfg, ok, err := g.protocol.DecodeConfig(c)
 	if err != nil {
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -61,3 +61,28 @@
 		})
 	}
 }
+
+// TestEvacuationOutlastsRestore guards against requests to an evacuated failure domain after the
+// store has lost the evacuation in a restore, until the operator has written it again.
+func TestEvacuationOutlastsRestore(t *testing.T) {
+	t.Parallel()
+	g := startTwoDomains(t)
+	snapshot := g.store.Snapshot()
+	g.store.Put("op", evacuateD1, []byte("{}"))
+	g.log.await(1, lineInForce, "domain=d1")
+	arrived := g.e1.Arrivals()
+	g.store.Restore(snapshot)
+	restored := time.Now()
+	for time.Since(restored) < settleTime {
+		assert.Equal(t, g.call("GET", "/safe/1", "").status, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.store.Put("op", evacuateD1, []byte("{}"))
+	for time.Since(restored) < 3*settleTime {
+		assert.Equal(t, g.call("GET", "/safe/1", "").status, http.StatusOK)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, g.e1.Arrivals(), arrived, "requests reached the evacuated domain")
+	g.store.Remove("op", evacuateD1)
+	g.log.await(1, lineEnded, "domain=d1")
+}
--- a/gossip/datagram_test.go
+++ b/gossip/datagram_test.go
@@ -254,3 +254,19 @@
 	}
 	assert.Equal(t, followers[1].Current().AsOf, positions[1])
 }
+
+// TestProcessLostInRestoreStaysListed guards against shares of limits and budgets that grow
+// because the rows of running processes were lost in a restore of the store.
+func TestProcessLostInRestoreStaysListed(t *testing.T) {
+	var listed []Node
+	r := NewRegistry("nodes", nil, Node{}, slog.New(slog.DiscardHandler), func(nodes []Node) { listed = nodes })
+	row := func(name string, version uint64) follow.Row {
+		return follow.Row{Key: name, Value: []byte(`{"name":"` + name + `","kind":"entry"}`), Version: version}
+	}
+	r.update(follow.Copy{
+		Rows:     map[string]follow.Row{"a": row("a", 1), "b": row("b", 2)},
+		Retained: map[string]follow.Row{"c": row("c", 9)},
+	})
+	assert.Equal(t, len(listed), 3)
+	assert.Equal(t, r.EntryCount(), 3)
+}
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -67,10 +67,14 @@
 // start together arrive in one read. Agents are many; what they need earlier they copy
 // from a peer.
 var (
-	entryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond, VerifyInterval: 5 * time.Second}
-	agentTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 4 * time.Second, Backoff: 500 * time.Millisecond}
+	entryTiming = follow.Timing{PollTimeout: 20 * time.Second, MinInterval: time.Second, Backoff: 500 * time.Millisecond, VerifyInterval: 5 * time.Second, RetainLost: retainProcesses}
+	agentTiming = follow.Timing{PollTimeout: 25 * time.Second, MinInterval: 4 * time.Second, Backoff: 500 * time.Millisecond, RetainLost: retainProcesses}
 )
 
+// retainProcesses is the time for which a process counts as registered whose row the store has
+// lost in a restore. It writes the row again once it has read the table.
+const retainProcesses = 10 * time.Second
+
 // Registry registers this process in the table of processes and follows that
 // table. It is safe for concurrent use.
 type Registry struct {
@@ -155,11 +159,12 @@
 	return agents
 }
 
-// update replaces the list of processes with the rows of a new copy. Rows that were
-// written later come later.
+// update replaces the list of processes with the rows of a new copy and those that the store has
+// lost in a restore. Rows that were written later come later.
 func (r *Registry) update(c follow.Copy) {
-	nodes := make([]Node, 0, len(c.Rows))
-	for _, row := range slices.SortedFunc(maps.Values(c.Rows), func(a, b follow.Row) int { return cmp.Compare(a.Version, b.Version) }) {
+	rows := c.WithRetained().Rows
+	nodes := make([]Node, 0, len(rows))
+	for _, row := range slices.SortedFunc(maps.Values(rows), func(a, b follow.Row) int { return cmp.Compare(a.Version, b.Version) }) {
 		var n Node
 		if err := json.Unmarshal(row.Value, &n); err != nil {
 			r.log.Warn("cannot decode the row of a process", "row", row.Key, "error", err.Error())
