gossip: a process writes its row again after a restore of the store

What callers would see: a gateway or agent that registered in the seconds before a restore is not found by the others until it restarts: they send it no notes, and a group without the row of a rank has no leader that can change its map.

Cause: a process wrote its row at its start and took it for kept.

Why it works: with the first copy of another era, a process checks whether the table holds its row as it is, and if not writes it after a random delay of up to 1 s. The position of the write or of the copy is kept, so that a copy from before the write does not lead to a second one; within an era nobody else writes the row. Followers tell their consumers of another era too if the content is the same: a process may not have received its own row before it was lost.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -228,8 +228,8 @@
 	Digest uint64 `cbor:"digest"`
 }
 
-// New returns a Follower. onChange is called with each copy that has another content
-// than the previous one, one call at a time.
+// New returns a Follower. onChange is called with each copy that has another content or
+// another era than the previous one, one call at a time.
 func New(table string, source Source, timing Timing, log *slog.Logger, onChange func(Copy)) *Follower {
 	f := &Follower{
 		firstCopy: make(chan struct{}), answered: make(chan struct{}), verifyNow: make(chan struct{}, 1),
@@ -442,13 +442,10 @@
 		f.requestVerification()
 		return
 	}
-	f.recordRestore(cur.AsOf, c.AsOf)
-	cur.AsOf = c.AsOf
-	f.current.Store(&cur)
 	f.mu.Lock()
 	f.verifiedAt = time.Now()
 	f.mu.Unlock()
-	f.dropRetained()
+	f.confirm(cur, c.AsOf)
 }
 
 // verify makes sure that the store has answered this process, or a peer with the same
@@ -587,11 +584,9 @@
 		c.digest = c.contentDigest()
 	}
 	if !first && c.digest == cur.digest {
-		f.recordRestore(cur.AsOf, c.AsOf)
 		// Both positions of the latest change are bounds for the same content.
-		cur.AsOf, cur.Changed = newer(cur.AsOf, c.AsOf), newer(cur.Changed, c.Changed)
-		f.current.Store(&cur)
-		f.dropRetained()
+		cur.Changed = newer(cur.Changed, c.Changed)
+		f.confirm(cur, newer(cur.AsOf, c.AsOf))
 		return false
 	}
 	if !c.AsOf.After(cur.AsOf) && !first {
@@ -632,16 +627,21 @@
 	f.log.Warn("using the table of the restored store", "table", f.table, "as_of", next.AsOf, "held", cur.AsOf, "rows", len(next.Rows), "retained", len(next.Retained))
 }
 
-// dropRetained ends the retention of lost rows if it is over. The caller must hold installMu.
-func (f *Follower) dropRetained() {
-	cur := f.Current()
-	if len(cur.Retained) == 0 || !f.retentionOver() {
-		return
+// confirm records that cur is still complete at a later position. It ends the retention of lost
+// rows if that is over. It calls onChange if rows are no longer retained, or for another era. The
+// caller must hold installMu.
+func (f *Follower) confirm(cur Copy, asOf Position) {
+	restored := f.recordRestore(cur.AsOf, asOf)
+	cur.AsOf = asOf
+	over := len(cur.Retained) > 0 && f.retentionOver()
+	if over {
+		f.log.Warn("lost rows have not been written again", "table", f.table, "rows", len(cur.Retained))
+		cur.Retained = nil
 	}
-	f.log.Warn("lost rows have not been written again", "table", f.table, "rows", len(cur.Retained))
-	cur.Retained = nil
 	f.current.Store(&cur)
-	f.onChange(cur)
+	if restored || over {
+		f.onChange(cur)
+	}
 }
 
 // retentionOver reports whether the store has answered since the end of the retention. A process
@@ -653,16 +653,17 @@
 }
 
 // recordRestore records that the store has been restored, if the next position is of another
-// era. Like an outage, that may have removed entries of running processes. The caller must hold
-// installMu.
-func (f *Follower) recordRestore(held, next Position) {
+// era, and reports whether it is. Like an outage, a restore may have removed entries of running
+// processes. The caller must hold installMu.
+func (f *Follower) recordRestore(held, next Position) bool {
 	if next.Era <= held.Era {
-		return
+		return false
 	}
 	f.retainUntil = time.Now().Add(f.timing.RetainLost)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.backAt = time.Now()
+	return true
 }
 
 // recordLoss records that a call that began at the given time has failed, and logs that
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,9 @@
 	// initialReadTimeout bounds the first read of the table. If it succeeds and
 	// the table already holds the right row, the process doesn't write it again.
 	initialReadTimeout = 500 * time.Millisecond
+	// maxRewriteDelay bounds the random delay of writing the own row again after the store
+	// has lost it, so that not all processes write at once.
+	maxRewriteDelay = time.Second
 )
 
 // entryTiming and agentTiming pause between reads so that the rows of processes that
@@ -84,17 +88,21 @@
 	follower *follow.Follower
 	nodes    atomic.Pointer[[]Node]
 	onChange func([]Node)
-	// pending holds a value while self has to be written to the table.
-	pending chan struct{}
+	// pending holds a value while self has to be written to the table, lost while it has to
+	// be written again.
+	pending, lost chan struct{}
 
 	mu   sync.Mutex
 	self Node
+	// registered is true once the table has held this process's row, as of heldAt.
+	registered bool
+	heldAt     follow.Position
 }
 
 // NewRegistry returns a registry for the process self. onChange is called with
 // each new list of processes.
 func NewRegistry(table string, store Store, self Node, log *slog.Logger, onChange func([]Node)) *Registry {
-	r := &Registry{table: table, store: store, log: log, self: self, onChange: onChange, pending: make(chan struct{}, 1)}
+	r := &Registry{table: table, store: store, log: log, self: self, onChange: onChange, pending: make(chan struct{}, 1), lost: make(chan struct{}, 1)}
 	r.nodes.Store(&[]Node{})
 	timing := agentTiming
 	if self.Kind == KindEntry {
@@ -127,8 +135,13 @@
 		return
 	}
 	r.self.Group, r.self.Rank, r.self.Size = group, rank, size
+	notify(r.pending)
+}
+
+// notify puts a value into a channel unless there is one.
+func notify(c chan struct{}) {
 	select {
-	case r.pending <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -175,6 +188,36 @@
 	r.nodes.Store(&nodes)
 	r.log.Info("list of processes updated", "processes", len(nodes), "as_of", c.AsOf)
 	r.onChange(nodes)
+	r.checkSelf(c)
+}
+
+// checkSelf checks whether the store has lost this process's row in a restore, or has an older one.
+// Within an era, only this process writes it.
+func (r *Registry) checkSelf(c follow.Copy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.registered || c.AsOf.Era <= r.heldAt.Era {
+		return
+	}
+	if value, err := json.Marshal(r.self); err == nil && bytes.Equal(value, c.Rows[r.self.Name].Value) {
+		r.heldAt = c.AsOf
+		return
+	}
+	notify(r.lost)
+}
+
+// isLost reports whether the row has not been seen or written in the era of the current copy.
+func (r *Registry) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heldAt.Era < r.follower.Current().AsOf.Era
+}
+
+// setHeld records that the table holds this process's row.
+func (r *Registry) setHeld(at follow.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registered, r.heldAt = true, at
 }
 
 // Run registers this process and follows the table until the context ends.
@@ -189,6 +232,12 @@
 		select {
 		case <-r.pending:
 			r.register(ctx)
+		case <-r.lost:
+			sleep(ctx, rand.N(maxRewriteDelay))
+			if r.isLost() {
+				r.log.Warn("the store has lost the row of this process, writing it again")
+				r.register(ctx)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -200,23 +249,35 @@
 	for ctx.Err() == nil {
 		self := r.Self()
 		value, err := json.Marshal(self)
-		if bytes.Equal(value, r.follower.Current().Rows[self.Name].Value) {
+		if held := r.follower.Current(); bytes.Equal(value, held.Rows[self.Name].Value) {
 			// The table already holds this row, from an earlier start.
+			r.setHeld(held.AsOf)
 			return
 		}
+		var at follow.Position
 		if err == nil {
-			_, err = r.store.Put(ctx, r.table, self.Name, value)
+			at, err = r.store.Put(ctx, r.table, self.Name, value)
+		}
+		if err == nil && at.Era < r.follower.Current().AsOf.Era {
+			// The answer was late, and the table has been read without the row meanwhile.
+			continue
 		}
 		if err == nil {
+			r.setHeld(at)
 			r.log.Info("registered this process", "name", self.Name, "address", self.Address, "group", self.Group, "rank", self.Rank)
 			return
 		}
 		r.log.Warn("cannot register this process", "error", err.Error())
-		timer := time.NewTimer(registerRetryInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		sleep(ctx, registerRetryInterval)
+	}
+}
+
+// sleep waits for some time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/standin/rowstore/rowstore.go
+++ b/standin/rowstore/rowstore.go
@@ -120,6 +120,18 @@
 	return Snapshot{version: s.version, rows: maps.Clone(s.rows)}
 }
 
+// Rows returns the number of rows of a table, and the version of the latest transaction.
+func (s *Store) Rows(table string) (rows int, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rows {
+		if r.Table == table {
+			rows++
+		}
+	}
+	return rows, s.version
+}
+
 // Restore returns to an earlier content. All transactions since then are lost, their versions
 // are given out again, and the next era begins.
 func (s *Store) Restore(to Snapshot) {
