gateway: write the reports on crashes again after a restore of the store

What callers would see: endpoints crash again by requests that had been quarantined, if all gateways stop after a restore that has lost their reports.

Cause: a gateway compared its reports with what it had written, not with what the store holds.

Why it works: with the first answer of another era, each gateway that has written a row writes it again after a random delay of up to 1 s, also within the pause between two writes.

A gateway without reports makes no call.

--- a/gateway/crashstore.go
+++ b/gateway/crashstore.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/quarantine"
@@ -18,6 +20,9 @@
 	clearWriteInterval = 15 * time.Second
 	// storeRetryInterval is the time between two attempts to read or write.
 	storeRetryInterval = time.Second
+	// maxRewriteDelay bounds the random delay of writing the row again after a restore of the
+	// store, so that not all gateways write at once.
+	maxRewriteDelay = time.Second
 )
 
 // storedCrashes is the row of a gateway in the table of crashes: its own reports.
@@ -36,14 +41,24 @@
 	store   Store
 	table   string
 	node    string
-	// written is the content of the row without times, newest the latest crash in it.
+	// written is the content of the row without times, nil if there is none, newest the latest
+	// crash in it.
 	written []byte
 	newest  quarantine.CrashID
+	// restored is true if the store has been restored since the latest write and may have lost
+	// it.
+	restored atomic.Bool
 }
 
 // run reads the reports of all gateways and then writes this gateway's row after
 // changes until ctx ends.
 func (s *crashStore) run(ctx context.Context) {
+	s.store.Eras().OnRestore(func(uint64) {
+		time.AfterFunc(rand.N(maxRewriteDelay), func() {
+			s.restored.Store(true)
+			notify(s.crashes.unsaved)
+		})
+	})
 	for !s.read(ctx) {
 		if sleep(ctx, storeRetryInterval); ctx.Err() != nil {
 			return
@@ -99,7 +114,8 @@
 		s.crashes.log.Error("cannot encode the crashes for the store", "error", err.Error())
 		return true
 	}
-	if bytes.Equal(content, s.written) || len(reports) == 0 && s.written == nil {
+	restored := s.restored.Swap(false)
+	if s.written == nil && len(reports) == 0 || bytes.Equal(content, s.written) && !restored {
 		return true
 	}
 	var newest quarantine.CrashID
@@ -111,6 +127,7 @@
 		_, err = s.store.Put(ctx, s.table, s.node, row)
 	}
 	if err != nil {
+		s.restored.CompareAndSwap(false, restored)
 		s.crashes.log.Warn("cannot write the table of crashes", "error", err.Error())
 		return false
 	}
@@ -121,14 +138,14 @@
 }
 
 // pause waits until the next write may follow: clearWriteInterval, or crashWriteInterval
-// once this gateway has reported another crash.
+// once this gateway has reported another crash or the store has been restored.
 func (s *crashStore) pause(ctx context.Context) {
 	for waited := time.Duration(0); waited < clearWriteInterval; waited += crashWriteInterval {
 		if sleep(ctx, crashWriteInterval); ctx.Err() != nil {
 			return
 		}
 		reports := s.crashes.list.UnclearedReports(s.node, maxStoredFingerprints)
-		if len(reports) > 0 && reports[0].ID != s.newest {
+		if s.restored.Load() || len(reports) > 0 && reports[0].ID != s.newest {
 			return
 		}
 	}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/platform"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/endpoint"
 	"github.com/cyclamenpoint/cyclamenpoint/standin/rowstore"
 )
@@ -86,3 +88,27 @@
 	g.store.Remove("op", evacuateD1)
 	g.log.await(1, lineEnded, "domain=d1")
 }
+
+// TestCrashesLostInRestoreAreWrittenAgain guards against requests with a deadly part that crash
+// endpoints again after a restore of the store and a stop of all gateways.
+func TestCrashesLostInRestoreAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	endpoints, install, _ := deadlyEndpoints(t, 4, "bad")
+	gw := newTestGateway(t, endpoints...)
+	install(gw)
+	snapshot := gw.store.Snapshot()
+	gw.call("POST", "/stream/1", "deadly", promptHeader, "shared:40,bad:9,own:7")
+	awaitStored := func() {
+		for end := time.Now().Add(2 * settleTime); !strings.Contains(gw.storedCrashes(), `"n1"`); time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(end), "the crash is not in the store")
+		}
+	}
+	awaitStored()
+	time.Sleep(settleTime)
+	gw.store.Restore(snapshot)
+	awaitStored()
+	_, version := gw.store.Rows(platform.TableCrashes)
+	time.Sleep(settleTime)
+	_, later := gw.store.Rows(platform.TableCrashes)
+	assert.Equal(t, later, version, "the row is written once")
+}
