gateway: endpoints that leave stay out of use after a restore of the store

What callers would see: after a restore that loses the entry 'draining', or the removal of an entry, requests go to an endpoint that is about to stop or has ended, and are cut off or refused.

Cause: the restored list was taken for the present one. A gateway is bound by what it has been told of an endpoint's leaving, also if the store has forgotten it.

Why it works: with the first list of another era, incarnations that were draining count as leaving for good, as if an answer had said so. Those that were no longer listed are hidden until their entry is written again, which its other revision shows, or for 5 s, in which the store removes the entry of one that has ended. A removal and a drain thus act at once, and are taken back only on confirmation. Entries that the store has lost stay in use for RelistPeriod, as after an outage, however short the store was away.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,9 @@
 	limits            *limits
 	departures        *departures
 	evacuations       *evacuations
-	cold              *coldEndpoints
+	// former is used only within setEndpoints.
+	former *formerEndpoints
+	cold   *coldEndpoints
 
 	// draining is true once the node is stopping, closing once it takes no more requests.
 	draining, closing atomic.Bool
@@ -226,6 +228,7 @@
 	g.limits = newLimits(g.notes, log)
 	g.departures = newDepartures(g.notes, log)
 	g.evacuations = newEvacuations(log)
+	g.former = newFormerEndpoints()
 	g.cold = newColdEndpoints(s.Cold, s.Node, g.notes, log)
 	g.cold.evacuationEnd = g.evacuations.endedAt
 	metric.RegisterGauge("caller_memory_bytes", func() float64 { return float64(g.memory.Stats().Used) })
@@ -292,13 +295,23 @@
 	g.cold.setConfig(cfg)
 }
 
-// setEndpoints applies a new list of endpoints. After an outage of the store, endpoints
-// that are missing from the list stay in use for RelistPeriod.
+// setEndpoints applies a new list of endpoints. After an outage or a restore of the store,
+// endpoints that are missing from the list stay in use for RelistPeriod. What a restored store
+// says of endpoints that were draining or no longer listed may be from before that.
 func (g *Gateway) setEndpoints(c follow.Copy) {
 	list, errs := g.protocol.DecodeEndpoints(c)
 	for _, err := range errs {
 		g.log.Warn("invalid entry in the list of endpoints", "error", err.Error(), "as_of", c.AsOf)
 	}
+	now := time.Now()
+	if g.former.restored(c.AsOf.Era) {
+		for _, i := range g.former.leaving(g.endpoints.Load()) {
+			g.departures.add(i)
+		}
+		g.former.hide(list, now)
+		time.AfterFunc(formerHidden, g.reapplyEndpoints)
+	}
+	list = g.former.visible(list, now)
 	_, backAt := g.endpointsFollower.OutageTimes()
 	if left := time.Until(backAt.Add(g.settings.RelistPeriod)); left > 0 {
 		list = withUnlisted(list, g.endpoints.Load())
@@ -331,6 +344,7 @@
 			g.pool.CloseIdle(e.Address)
 		}
 	}
+	g.former.update(old, set, time.Now())
 	g.loads.SetEndpoints(byAddress)
 	g.evacuations.setListed(set)
 	g.cold.setEndpoints(set)
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -112,3 +112,63 @@
 	_, later := gw.store.Rows(platform.TableCrashes)
 	assert.Equal(t, later, version, "the row is written once")
 }
+
+// TestLeavingEndpointOutlastsRestore guards against requests to endpoints that were draining or no
+// longer listed before a restore, after which the store lists them as ready.
+func TestLeavingEndpointOutlastsRestore(t *testing.T) {
+	for _, state := range []string{"draining", "removed", "draining, then removed"} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			leaving, other := endpoint.New("e1"), endpoint.New("e2")
+			gw := newTestGateway(t, leaving, other)
+			snapshot := gw.store.Snapshot()
+			address := strings.TrimPrefix(gw.servers["e1"].URL, "http://")
+			if strings.HasPrefix(state, "draining") {
+				gw.listEndpoint("e1", address, "draining")
+				time.Sleep(propagationTime)
+			}
+			if strings.HasSuffix(state, "removed") {
+				gw.store.Remove("servers", "e1")
+			}
+			time.Sleep(propagationTime)
+			arrived := leaving.Arrivals()
+			gw.store.Restore(snapshot)
+			restored := time.Now()
+			for time.Since(restored) < settleTime {
+				assert.Equal(t, gw.call("GET", "/safe/1", "").status, http.StatusOK)
+				time.Sleep(20 * time.Millisecond)
+			}
+			assert.Equal(t, leaving.Arrivals(), arrived, "requests reached the endpoint that leaves")
+			if state != "removed" {
+				return
+			}
+			// An endpoint that writes its entry again is in use.
+			gw.listEndpoint("e1", address, "ready")
+			for leaving.Arrivals() == arrived {
+				assert.Assert(t, time.Since(restored) < settleTime+propagationTime, "the endpoint gets no requests")
+				assert.Equal(t, gw.call("GET", "/safe/1", "").status, http.StatusOK)
+			}
+		})
+	}
+}
+
+// TestEndpointLostInRestoreStaysInUse guards against refusals because a restored store lacks the
+// entries of running endpoints.
+func TestEndpointLostInRestoreStaysInUse(t *testing.T) {
+	t.Parallel()
+	ended := endpoint.New("e1")
+	gw := newTestGateway(t, ended)
+	snapshot := gw.store.Snapshot()
+	gw.addEndpoint(endpoint.New("e2"))
+	time.Sleep(propagationTime)
+	gw.store.Remove("servers", "e1")
+	time.Sleep(propagationTime)
+	arrived := ended.Arrivals()
+	gw.store.Restore(snapshot)
+	restored := time.Now()
+	for time.Since(restored) < propagationTime {
+		assert.Equal(t, gw.call("GET", "/safe/1", "").status, http.StatusOK, "%s after the restore", time.Since(restored))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, ended.Arrivals(), arrived)
+}
