pacing: a row from before a restore does not make an endpoint warm

What callers would see: more requests reach a cold endpoint than it allows, and it crashes, if a restored store lists it as it was before it became cold.

Cause: the version of a row was its revision. A restored store gives versions out again, so a new row could count as the known one; and an older row counted as the latest statement.

Evidence: TestRowOfRestoredStore fails without the change (0 s instead of 4 s).

Rows in the first list of another era may lengthen the time for which an endpoint counts as cold, and never shorten it.

--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -91,14 +91,15 @@
 	}
 }
 
-// setEndpoints records the rows of a new list of endpoints.
-func (c *coldEndpoints) setEndpoints(set *discovery.Set) {
+// setEndpoints records the rows of a new list of endpoints. restored is true if they may be older
+// than those of the former list.
+func (c *coldEndpoints) setEndpoints(set *discovery.Set, restored bool) {
 	if c.settings.Overage <= 0 {
 		return
 	}
 	now := time.Now()
 	for _, e := range set.All() {
-		c.states.List(pacedEndpoint(e), pacing.ColdRow{Revision: e.Revision, Stated: e.WarmupStated, Remaining: e.WarmupRemaining}, now)
+		c.states.List(pacedEndpoint(e), pacing.ColdRow{Revision: e.Revision, Stated: e.WarmupStated, Remaining: e.WarmupRemaining, Restored: restored}, now)
 	}
 	listed := func(id string) bool {
 		_, ok := set.Find(id)
--- a/gateway/coldlimit_test.go
+++ b/gateway/coldlimit_test.go
@@ -24,7 +24,7 @@
 	for _, domain := range []string{"d1", "d2"} {
 		listed = append(listed, discovery.Endpoint{ID: "e-" + domain, Service: "s", FailureDomain: domain, Slots: 8, WarmupStated: true, Revision: 1, Started: time.UnixMilli(1)})
 	}
-	c.setEndpoints(discovery.NewSet(listed))
+	c.setEndpoints(discovery.NewSet(listed), false)
 	now = time.Now().Add(10 * time.Second)
 	c.slots.SetNodes([]string{"n0"}, now)
 	c.tick(now)
@@ -89,7 +89,7 @@
 	assert.Assert(t, c.remaining(service, &listed[0], now) > 0)
 	c.observe(service, listed[0], "r1", now, forward.ColdStatement{Stated: true})
 	assert.Equal(t, c.remaining(service, &listed[0], now), time.Duration(0))
-	c.setEndpoints(discovery.NewSet(nil))
+	c.setEndpoints(discovery.NewSet(nil), false)
 	assert.Equal(t, len(c.faulty), 0)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -304,7 +304,8 @@
 		g.log.Warn("invalid entry in the list of endpoints", "error", err.Error(), "as_of", c.AsOf)
 	}
 	now := time.Now()
-	if g.former.restored(c.AsOf.Era) {
+	restored := g.former.restored(c.AsOf.Era)
+	if restored {
 		for _, i := range g.former.leaving(g.endpoints.Load()) {
 			g.departures.add(i)
 		}
@@ -318,14 +319,15 @@
 		// This removes the endpoints that have not registered again by then.
 		time.AfterFunc(left, g.reapplyEndpoints)
 	}
-	g.installEndpoints(list, c.AsOf)
+	g.installEndpoints(list, c.AsOf, restored)
 }
 
 // reapplyEndpoints applies the latest list of endpoints again.
 func (g *Gateway) reapplyEndpoints() { g.endpointsFollower.Renotify() }
 
-// installEndpoints replaces the list of endpoints and logs the changes.
-func (g *Gateway) installEndpoints(list []discovery.Endpoint, asOf follow.Position) {
+// installEndpoints replaces the list of endpoints and logs the changes. restored is true if the
+// list is the first one of another era of the store.
+func (g *Gateway) installEndpoints(list []discovery.Endpoint, asOf follow.Position, restored bool) {
 	old, set := g.endpoints.Load(), discovery.NewSet(list)
 	byAddress := make(map[string]string, len(list))
 	for _, e := range list {
@@ -347,7 +349,7 @@
 	g.former.update(old, set, time.Now())
 	g.loads.SetEndpoints(byAddress)
 	g.evacuations.setListed(set)
-	g.cold.setEndpoints(set)
+	g.cold.setEndpoints(set, restored)
 	g.endpoints.Store(set)
 	g.departures.retain(set)
 	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
--- a/pacing/coldstate.go
+++ b/pacing/coldstate.go
@@ -52,6 +52,9 @@
 	// Stated is true if the row states a time, Remaining is that time.
 	Stated    bool
 	Remaining time.Duration
+	// Restored is true if the row may be older than one that was listed before. Then it does
+	// not shorten a time.
+	Restored bool
 }
 
 // ColdStatement is what nodes tell each other of a cold endpoint.
@@ -141,7 +144,7 @@
 		return
 	}
 	s.revision = row.Revision
-	if !row.Stated {
+	if !row.Stated || row.Restored && !now.Add(row.Remaining).After(s.until) {
 		return
 	}
 	s.unstatedSince = time.Time{}
@@ -150,7 +153,7 @@
 	if s.cause == ColdByRow || now.Add(row.Remaining).After(s.until) {
 		s.state(row.Remaining, ColdByRow, now)
 	}
-	if at := now.Add(-rowDelay); at.After(s.knownAt) {
+	if at := now.Add(-rowDelay); !row.Restored && at.After(s.knownAt) {
 		s.knownAt = at
 	}
 }
--- a/pacing/coldstate_test.go
+++ b/pacing/coldstate_test.go
@@ -54,6 +54,27 @@
 	s.check(coldStart, ColdByRow)
 }
 
+// TestRowOfRestoredStore guards against more requests than a cold endpoint allows, because a row
+// from before it became cold counts as the latest statement.
+func TestRowOfRestoredStore(t *testing.T) {
+	for name, c := range map[string]struct{ restored, want time.Duration }{
+		"warm":       {0, 4 * time.Second},
+		"for less":   {time.Second, 4 * time.Second},
+		"for longer": {6 * time.Second, 6 * time.Second},
+	} {
+		s := newStateTest(t)
+		s.list(1, true, 0)
+		s.pass(time.Second)
+		s.list(2, true, 5*time.Second)
+		s.pass(time.Second)
+		s.states.List(endpoint, ColdRow{Revision: 1, Stated: true, Remaining: c.restored, Restored: true}, s.now)
+		remaining, _, _ := s.states.Cold(endpoint, s.limit, s.now)
+		assert.Equal(t, remaining, c.want, name)
+		s.list(3, true, 0)
+		s.check(0, ColdNone)
+	}
+}
+
 // TestUnstatedRow guards against an endpoint that gets all requests at once because its row
 // does not say that it is cold: it counts as cold until an answer or a row shows that it is
 // warm, for the time of a cold start at most.
