rankgroup: an agent keeps its configuration over a restore of the store

What callers would see: pauses in streams, as groups decide on maps by the target gap and the model of an older configuration, until the operator writes the newest one again.

Cause: an agent used each configuration that it read, also one older than its own.

Evidence: TestConfigurationOfRestoredStore fails without the change (2 s instead of 3 s).

Why it works: a configuration of a lower version is ignored, as gateways do.

--- a/rankgroup/agent.go
+++ b/rankgroup/agent.go
@@ -82,9 +82,11 @@
 	log        *slog.Logger
 	decode     DecodeConfig
 	config     *follow.Follower
-	registry   *gossip.Registry
-	gossip     *gossip.Gossiper
-	client     *http.Client
+	// configVersion is the version of the configuration in use. Only setConfig uses it.
+	configVersion uint64
+	registry      *gossip.Registry
+	gossip        *gossip.Gossiper
+	client        *http.Client
 	// engineModel is the configured model of the engines.
 	engineModel atomic.Pointer[route.Engine]
 	// targetGap is the shortest target for the pause between two events of an
@@ -159,16 +161,18 @@
 	tasks.Wait()
 }
 
-// setConfig records the parts of the configuration that the agent uses.
+// setConfig records the parts of the configuration that the agent uses. It ignores one that is
+// older than the one in use, which a restored store has until the operators write again.
 func (a *Agent) setConfig(c follow.Copy) {
 	cfg, ok, err := a.decode(c)
 	if err != nil {
 		a.log.Error("configuration cannot be used", "error", err.Error(), "as_of", c.AsOf)
 		return
 	}
-	if !ok {
+	if !ok || cfg.Version < a.configVersion {
 		return
 	}
+	a.configVersion = cfg.Version
 	for i := range cfg.Services {
 		s := &cfg.Services[i]
 		if s.Engine != nil && s.Engine.Experts != nil && (a.settings.Service == "" || s.Name == a.settings.Service) {
--- a/rankgroup/agent_test.go
+++ b/rankgroup/agent_test.go
@@ -1,11 +1,13 @@
 package rankgroup
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenpoint/cyclamenpoint/follow"
 	"github.com/cyclamenpoint/cyclamenpoint/placement"
 	"github.com/cyclamenpoint/cyclamenpoint/route"
 )
@@ -79,3 +81,30 @@
 	assert.Equal(t, shortestTargetGap(routes, "a"), time.Duration(90))
 	assert.Equal(t, shortestTargetGap(routes, "c"), time.Duration(0))
 }
+
+// TestConfigurationOfRestoredStore guards against maps that are decided by an older configuration,
+// which a restored store has until the operators write again.
+func TestConfigurationOfRestoredStore(t *testing.T) {
+	config := func(version uint64, gap time.Duration) route.Config {
+		return route.Config{
+			Version:  version,
+			Services: []route.Service{{Name: "s", Engine: &route.Engine{Experts: &route.Experts{}}}},
+			Routes:   []route.Route{{Stream: true, TargetGap: gap, Split: []route.Share{{Service: "s"}}}},
+		}
+	}
+	stored := config(3, 3*time.Second)
+	a := &Agent{log: slog.New(slog.DiscardHandler), decode: func(follow.Copy) (route.Config, bool, error) { return stored, true, nil }}
+	for _, c := range []struct {
+		stored route.Config
+		want   time.Duration
+	}{
+		{config(3, 3*time.Second), 3 * time.Second},
+		{config(2, 2*time.Second), 3 * time.Second},
+		{config(3, 4*time.Second), 4 * time.Second},
+		{config(5, 5*time.Second), 5 * time.Second},
+	} {
+		stored = c.stored
+		a.setConfig(follow.Copy{})
+		assert.Equal(t, time.Duration(a.targetGap.Load()), c.want, "version %d", c.stored.Version)
+	}
+}
