soak: restores of the store from an earlier copy

The soak's store lost nothing, so it could not meet versions that are given out again. A fault plan now also restores the store from a copy of up to 3 s before, after it was away for up to 1.5 s; the operators' and endpoints' rows are written again within a second. The other faults of a seed are the same as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,9 +57,12 @@
 	statementRNG *rand.Rand
 	// evacuationRNG selects evacuations, in the same way.
 	evacuationRNG *rand.Rand
-	store         *rowstore.Store
-	storeProxy    *proxy
-	endpoints     []*endpoint.Endpoint
+	// restoreRNG selects restores of the store, in the same way.
+	restoreRNG *rand.Rand
+	store      *rowstore.Store
+	rows       *rowWriter
+	storeProxy *proxy
+	endpoints  []*endpoint.Endpoint
 	// endpointProxies are the proxies in front of the endpoints, by index.
 	endpointProxies []*proxy
 	group           *rankengine.Group
@@ -95,10 +98,10 @@
 // until all gateways are ready, callers are served and the rank group runs
 // passes, and then verifies the outcome.
 func runSeed(t *testing.T, seed uint64, gateway, agent string) {
-	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), statementRNG: rand.New(rand.NewPCG(seed, 9)), evacuationRNG: rand.New(rand.NewPCG(seed, 10)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
+	b := &testbed{t: t, rng: rand.New(rand.NewPCG(seed, 7)), endpointRNG: rand.New(rand.NewPCG(seed, 8)), statementRNG: rand.New(rand.NewPCG(seed, 9)), evacuationRNG: rand.New(rand.NewPCG(seed, 10)), restoreRNG: rand.New(rand.NewPCG(seed, 11)), store: rowstore.New(), history: &history{requests: make(map[string]request)}}
 	logDir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	assert.NilError(t, err)
-	b.logDir = logDir
+	b.logDir, b.rows = logDir, newRowWriter(b.store)
 	b.start(seed, gateway, agent)
 	for i := range b.gateways {
 		b.waitReady(i)
@@ -115,6 +118,7 @@
 		time.Sleep(f.pause)
 		f.inject()
 	}
+	b.rows.restores.Wait()
 	b.endFaults()
 	for i := range b.gateways {
 		b.waitReady(i)
@@ -223,7 +227,7 @@
 
 // listEndpoint writes the entry of an endpoint with its start time.
 func (b *testbed) listEndpoint(i int, started int64) {
-	b.store.Put("servers", b.endpoints[i].ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":16,"state":"ready","born":%d}`, b.endpointProxies[i].address, domainOf(i), started)))
+	b.rows.put("servers", b.endpoints[i].ID(), []byte(fmt.Sprintf(`{"service":"plain","address":%q,"zone":%q,"slots":16,"state":"ready","born":%d}`, b.endpointProxies[i].address, domainOf(i), started)))
 }
 
 // checkedDomain is the failure domain of the last endpoint. No fault evacuates it, only
@@ -238,8 +242,8 @@
 	key := "evacuate/" + domainOf(b.evacuationRNG.IntN(3))
 	duration := time.Duration(b.evacuationRNG.IntN(1500)) * time.Millisecond
 	return key, func() {
-		b.store.Put("op", key, []byte("{}"))
-		time.AfterFunc(duration, func() { b.store.Remove("op", key) })
+		b.rows.put("op", key, []byte("{}"))
+		time.AfterFunc(duration, func() { b.rows.remove("op", key) })
 	}
 }
 
@@ -252,7 +256,7 @@
 	for _, p := range b.gateways {
 		logged = append(logged, len(p.logText()))
 	}
-	b.store.Put("op", "evacuate/"+checkedDomain, []byte("{}"))
+	b.rows.put("op", "evacuate/"+checkedDomain, []byte("{}"))
 	for i, p := range b.gateways {
 		for !strings.Contains(p.logText()[logged[i]:], `"domain":"`+checkedDomain+`"`) {
 			time.Sleep(20 * time.Millisecond)
@@ -269,7 +273,7 @@
 			violations = append(violations, "evacuated: "+run.ID+" was executed in an evacuated failure domain")
 		}
 	}
-	b.store.Remove("op", "evacuate/"+checkedDomain)
+	b.rows.remove("op", "evacuate/"+checkedDomain)
 	for len(last.Runs()) == len(runs) {
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -294,7 +298,7 @@
 		"tenants": []any{map[string]any{"name": "org", "api_keys": []string{"key"}}},
 	})
 	assert.NilError(b.t, err)
-	b.store.Put("op", "config", body)
+	b.rows.put("op", "config", body)
 }
 
 // waitReady waits until a gateway reports that it accepts connections.
@@ -390,6 +394,10 @@
 			name, inject := b.randomEvacuation()
 			faults = append(faults, fault{0, name, inject})
 		}
+		if b.restoreRNG.IntN(8) == 0 {
+			name, inject := b.randomRestore()
+			faults = append(faults, fault{0, name, inject})
+		}
 	}
 	return faults
 }
