pacing: a cooldown outlasts the entry of its endpoint

What workers saw: more than two requests from one gateway in the time for which they had asked for none (BUDGET), after their entry had lapsed and come back.

Cause: cooldowns of endpoints that are not in the list were forgotten with each new list. One belonged to an incarnation too: the answer of an endpoint that has just started is recorded under its former one until the entry of the start is listed, and was forgotten then.

Ruled out: ways past the choice of an endpoint (each attempt, also resumed streams, trials after crashes and retries, takes its slot from the Pacer; a connection never sends a request twice), and answers that are not counted (each answer whose head arrives is, before the caller gets it).

Evidence: TestNoMoreThanTwoRequestsInCooldown fails without the change: 4 requests arrive. TestCooldownOutlastsList fails too.

Why it works: a cooldown belongs to the endpoint's id and is kept until it is over, listed or not. Under another incarnation it is over, but one request tries the endpoint before others follow, so a refusal that was the new start's own costs one request.

Measured: both tests pass; the tests of pacing pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -355,7 +355,7 @@
 	g.limits.pacer.Retain(func(e pacing.Endpoint) bool {
 		listed, ok := set.Find(e.ID)
 		return ok && pacedEndpoint(listed) == e
-	})
+	}, time.Now())
 }
 
 // setNodes applies a new list of the system's own processes.
--- a/pacing/cooldown.go
+++ b/pacing/cooldown.go
@@ -9,7 +9,9 @@
 // cooldown is the time for which an endpoint has asked for no requests from this node. A nil
 // pointer stands for none.
 type cooldown struct {
-	until time.Time
+	// incarnation is that of the endpoint when it was asked for.
+	incarnation uint64
+	until       time.Time
 	// trialAt is when the first request after the cooldown was sent, zero before.
 	trialAt time.Time
 }
@@ -32,6 +34,19 @@
 	}
 }
 
+// cooldown returns the cooldown of a listed endpoint, nil if there is none. One that was asked for
+// under another incarnation is over: the endpoint has started again. But the entry of a start may
+// be listed later than its first answers, so one request tries the endpoint before others
+// follow. The caller holds the lock.
+func (p *Pacer) cooldown(e Endpoint, now time.Time) *cooldown {
+	c := p.cooldowns[e.ID]
+	if c != nil && c.incarnation != e.Incarnation {
+		c = &cooldown{incarnation: e.Incarnation, until: now}
+		p.cooldowns[e.ID] = c
+	}
+	return c
+}
+
 // StartCooldown records that an endpoint has refused a request and asked for none from this
 // node for a time. It reports whether there was no cooldown before. A cooldown is never
 // shortened by the answer to a request that was sent before it.
@@ -39,11 +54,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	until := now.Add(d)
-	c := p.cooldowns[e]
+	c := p.cooldowns[e.ID]
 	if c != nil && c.until.After(until) {
 		return false
 	}
-	p.cooldowns[e] = &cooldown{until: until}
+	p.cooldowns[e.ID] = &cooldown{incarnation: e.Incarnation, until: until}
 	return c == nil
 }
 
@@ -52,7 +67,7 @@
 func (p *Pacer) EndCooldown(e Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c := p.cooldowns[e]; c != nil && !c.trialAt.IsZero() {
-		delete(p.cooldowns, e)
+	if c := p.cooldowns[e.ID]; c != nil && c.incarnation == e.Incarnation && !c.trialAt.IsZero() {
+		delete(p.cooldowns, e.ID)
 	}
 }
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -75,12 +75,13 @@
 	// nodes is the number of entry nodes, and turn this node's position among them.
 	nodes, turn int64
 	states      map[Endpoint]*state
-	cooldowns   map[Endpoint]*cooldown
+	// cooldowns holds those of endpoints by ID.
+	cooldowns map[string]*cooldown
 }
 
 // New returns a Pacer for the entry node at a position, counted from 0, among several.
 func New(turn, nodes int) *Pacer {
-	p := &Pacer{states: make(map[Endpoint]*state), cooldowns: make(map[Endpoint]*cooldown)}
+	p := &Pacer{states: make(map[Endpoint]*state), cooldowns: make(map[string]*cooldown)}
 	p.SetNodes(turn, nodes)
 	return p
 }
@@ -160,7 +161,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait, _ := p.wait(e, now)
-	return max(wait, p.cooldowns[e].left(now))
+	return max(wait, p.cooldown(e, now).left(now))
 }
 
 // wait returns the time until this node may send a request, and the slot to use for it,
@@ -184,10 +185,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	wait, slot := p.wait(e, now)
-	if wait > 0 || p.cooldowns[e].left(now) > 0 {
+	c := p.cooldown(e, now)
+	if wait > 0 || c.left(now) > 0 {
 		return false
 	}
-	p.cooldowns[e].begin(now)
+	c.begin(now)
 	if slot >= 0 {
 		p.states[e].next = slot + 1
 	}
@@ -205,8 +207,9 @@
 	return out
 }
 
-// Retain forgets the endpoints for which keep returns false.
-func (p *Pacer) Retain(keep func(Endpoint) bool) {
+// Retain forgets the endpoints for which keep returns false. A cooldown is kept until it is over: an
+// entry may be missing from the list for some time although its endpoint runs.
+func (p *Pacer) Retain(keep func(Endpoint) bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for e := range p.states {
@@ -214,9 +217,9 @@
 			delete(p.states, e)
 		}
 	}
-	for e := range p.cooldowns {
-		if !keep(e) {
-			delete(p.cooldowns, e)
+	for id, c := range p.cooldowns {
+		if !keep(Endpoint{ID: id, Incarnation: c.incarnation}) && !now.Before(c.until) {
+			delete(p.cooldowns, id)
 		}
 	}
 }
