pacing: a rate limit outlasts the entry of its endpoint

What workers would see: more requests than the limit that they state allows (LIMIT), after their entry has lapsed and come back: each gateway sends without slots until an answer states the limit again.

Evidence: TestLimitOutlastsList fails without the change.

Why it works: a limit is kept for keepPeriod after its latest statement, listed or not.

--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -207,13 +207,14 @@
 	return out
 }
 
-// Retain forgets the endpoints for which keep returns false. A cooldown is kept until it is over: an
-// entry may be missing from the list for some time although its endpoint runs.
+// Retain forgets the endpoints for which keep returns false. A cooldown is kept until it is over and
+// a limit for keepPeriod: an entry may be missing from the list for some time although its
+// endpoint runs.
 func (p *Pacer) Retain(keep func(Endpoint) bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for e := range p.states {
-		if !keep(e) {
+	for e, s := range p.states {
+		if !keep(e) && now.Sub(s.statedAt) > keepPeriod {
 			delete(p.states, e)
 		}
 	}
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -181,3 +181,18 @@
 	}
 	assert.Equal(t, p.Wait(endpoint, now.Add(keepPeriod+time.Second)), time.Duration(0), "a limit that is no longer stated stays")
 }
+
+// TestLimitOutlastsList guards against a burst at an endpoint with a limit, because its entry lapsed
+// and came back.
+func TestLimitOutlastsList(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := New(0, 1)
+	p.Observe(endpoint, 0.1, now)
+	none := func(Endpoint) bool { return false }
+	now = now.Add(time.Second)
+	p.Take(endpoint, now)
+	p.Retain(none, now)
+	assert.Assert(t, !p.Take(endpoint, now), "the limit is forgotten")
+	p.Retain(none, now.Add(keepPeriod))
+	assert.Equal(t, len(p.states), 0)
+}
