forward: an answer without a request id on a reused connection is not used

What callers saw: 503 'not run' for a safe request or a resumable stream that its endpoint was running, after the endpoint had written an earlier refusal once more on a kept connection and the refusal had no request id.

Cause: an answer without an id was taken for that of the request in progress.

Evidence: TestRepeatedRefusalIsNotTheAnswer fails in 2 of 8 cases without the change. The other six hold as before: an answer with the id of another request is skipped, and requests that may run once have a connection of their own, on which no earlier answer can come.

Why it works: on a connection that has carried another request, an answer has to name its request; otherwise the connection is closed and the outcome unknown.

Measured: the test passes, also with the race detector.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -66,6 +66,7 @@
 	r.recordProgress()
 	defer r.watchStall(target, cancel)()
 	r.watch.Sent()
+	reused := conn.Reused()
 	resp, err := conn.Exchange(ctx, r.newRequest(target), r.answersRequest)
 	if err != nil {
 		conn.Discard()
@@ -73,6 +74,11 @@
 		return r.broken(ctx, err)
 	}
 	answer := r.f.codec.DecodeAnswer(resp.StatusCode, resp.Header)
+	if reused && answer.RequestID == "" {
+		// It may answer an earlier request on this connection.
+		conn.Discard()
+		return r.broken(ctx, &UnidentifiedError{Status: resp.Status})
+	}
 	if !answer.Misdirected {
 		r.watch.Stated(answer)
 	}
@@ -93,6 +99,15 @@
 	return res
 }
 
+// UnidentifiedError reports an answer on a reused connection that does not say to which request it
+// belongs.
+type UnidentifiedError struct{ Status string }
+
+// Error implements error.
+func (e *UnidentifiedError) Error() string {
+	return "answer " + e.Status + " on a reused connection has no request id"
+}
+
 // connectionLost reports a failed connection to the watch, unless the attempt was
 // cancelled.
 func (r *requestState) connectionLost(ctx context.Context) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -364,13 +364,16 @@
 	}
 }
 
+// Reused reports whether the connection has carried a request before.
+func (c *Conn) Reused() bool { return c.requests > 0 }
+
 // Exchange sends a request and reads the headers of its response. It skips
 // responses for which matches returns false, which are responses to earlier
 // requests. The end of the context aborts it only after AbortOnDone. The caller
 // must read the body and then call Release or Discard. The error is an
 // *ExchangeError; the endpoint may have received the request.
 func (c *Conn) Exchange(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
-	reused := c.requests > 0
+	reused := c.Reused()
 	c.requests++
 	if err := c.send(req); err != nil {
 		return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
