eventstream: an event is not held back for the rest of the next one

What callers saw: a stream without the events that had arrived last, if the next event was cut: it broke off without them, or they came late, with the rest of the next event.

Cause: the gateway flushes unless more of the stream is buffered, and a part of an event counted.

Why it works: only another complete event delays the flush, and that is relayed at once.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -88,5 +88,9 @@
 	}
 }
 
-// HasBuffered reports whether more of the body is already in the buffer.
-func (r *Reader) HasBuffered() bool { return r.reader.Buffered() > 0 }
+// HasBuffered reports whether another complete event is already in the buffer.
+func (r *Reader) HasBuffered() bool {
+	// Peek does not read more than is buffered.
+	buffered, _ := r.reader.Peek(r.reader.Buffered())
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -49,3 +49,16 @@
 	_, ok := err.(*TooLongError)
 	assert.Assert(t, ok)
 }
+
+// TestPartOfEventIsNotBuffered guards against events that are held back until the rest of the next
+// one arrives.
+func TestPartOfEventIsNotBuffered(t *testing.T) {
+	for body, want := range map[string]bool{
+		"id: 1\n\nid: 2\n\n": true, "id: 1\n\nid: 2\r\n\r\n": true, "id: 1\n\n": false, "id: 1\n\nid: 2\nda": false, "id: 1\n\nid: 2\n": false,
+	} {
+		r := NewReader(strings.NewReader(body))
+		_, err := r.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, r.HasBuffered(), want, "%q", body)
+	}
+}
