forward: a cooldown of one endpoint delays neither retries nor callers

What callers saw: a request that an endpoint had refused with a Retry-After waited up to 0.4 s before it went to another one; refused at its last attempt, its caller was told the time of that endpoint, while others took requests. All callers of a moment were told the same time.

Cause: the delay before a retry is for rank groups that form again, which say nothing of a time; and the Retry-After that an endpoint means for the gateway was passed on to the caller.

Evidence: TestRefusalWhileOthersAreFree fails without the change.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -25,8 +25,10 @@
 	// sent is true if the endpoint may have received the request.
 	sent  bool
 	cause string
-	// retryAfter is the delay that the endpoint suggested; zero for none.
+	// retryAfter is the delay that the endpoint suggested; zero for none. cooldown is true if
+	// the endpoint asks for no requests meanwhile.
 	retryAfter time.Duration
+	cooldown   bool
 	// deadlineExceeded is true if the caller's deadline passed.
 	deadlineExceeded bool
 	// released is true if the connection was returned to the pool or closed.
@@ -229,7 +231,7 @@
 
 // rejected returns the result of an attempt that the endpoint did not run.
 func (r *requestState) rejected(conn *upstream.Conn, resp *http.Response, answer Answer) result {
-	res := result{verdict: Rejected, outcome: attempt.NotRun, sent: true, retryAfter: answer.RetryAfter, cause: "endpoint answered " + resp.Status + ", not run"}
+	res := result{verdict: Rejected, outcome: attempt.NotRun, sent: true, retryAfter: answer.RetryAfter, cooldown: answer.Cooldown > 0, cause: "endpoint answered " + resp.Status + ", not run"}
 	if answer.Misdirected {
 		res.verdict = Misdirected
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -169,6 +169,9 @@
 	Record(target Target, verdict Verdict)
 	// Unresponsive reports whether an endpoint is probably down.
 	Unresponsive(target Target) bool
+	// NextFree returns the time until an endpoint of the request's service takes requests, as
+	// far as the endpoints have asked for none; zero if one does now.
+	NextFree(req *Request) time.Duration
 }
 
 // Watch receives the events of one attempt. Its methods must not be called concurrently.
@@ -391,6 +394,10 @@
 // if no attempt may follow.
 func (r *requestState) next(ctx context.Context, target Target, result result) *problem.Problem {
 	final := result.problem(r.req)
+	if result.cooldown && final.Kind == problem.NoCapacity {
+		// The delay concerns that endpoint. Others may take requests before.
+		final.RetryAfter = max(r.f.picker.NextFree(r.req), minRetryAfter)
+	}
 	if ctx.Err() != nil {
 		return final
 	}
@@ -399,7 +406,7 @@
 		Attempt: max(r.sends, 1), Outcome: result.outcome, Repeat: r.req.Match.Route.Repeat,
 		AnswerStarted: r.headSent && !r.req.Match.Route.Resumable, Remaining: time.Until(r.req.Deadline),
 	}, syncrand.New())
-	if result.verdict == Rejected {
+	if result.verdict == Rejected && !result.cooldown {
 		// The other endpoints are probably in the same state for a short time.
 		decision.After = min(rejectedBackoff, time.Duration(maxRejectedBackoffShare*float64(time.Until(r.req.Deadline))))
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -60,6 +60,8 @@
 	p.verdicts = append(p.verdicts, v)
 }
 
+func (p *orderedPicker) NextFree(*forward.Request) time.Duration { return 0 }
+
 func (p *orderedPicker) Unresponsive(t forward.Target) bool { return p.unresponsive[t.ID] }
 
 // caller is a forward.Sink that records the response.
--- a/gateway/cooldown_test.go
+++ b/gateway/cooldown_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -50,3 +52,26 @@
 		})
 	}
 }
+
+// TestRefusalWhileOthersAreFree guards against callers who are told to wait for the endpoint that
+// has refused them, while others take requests, and against retries that wait without need.
+func TestRefusalWhileOthersAreFree(t *testing.T) {
+	refuse := func(id string) *endpoint.Endpoint {
+		e := endpoint.New(id)
+		e.SetRetryAfter("30")
+		e.SetFault(func(string, int) endpoint.Fault { return endpoint.Reject })
+		return e
+	}
+	gw := newTestGateway(t, refuse("e1"), refuse("e2"), endpoint.New("e3"))
+	for range 40 {
+		began := time.Now()
+		a := gw.call("GET", "/safe/1", "")
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond, "answered after %s", time.Since(began))
+		if a.status == http.StatusOK {
+			continue
+		}
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, a.status == http.StatusServiceUnavailable && after < 1, "status %d, Retry-After %g s", a.status, after)
+	}
+}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -145,6 +145,26 @@
 	return reported
 }
 
+// NextFree implements forward.Picker. The time is spread, so that callers who wait for the same
+// endpoint do not return all at once.
+func (p *endpointPicker) NextFree(req *forward.Request) time.Duration {
+	listed, err := p.g.evacuations.remaining(p.g.endpoints.Load().Service(req.Match.Service.Name))
+	if err != nil {
+		return 0
+	}
+	now, first := time.Now(), time.Duration(-1)
+	for i := range listed {
+		e := &listed[i]
+		if e.Draining || p.g.departures.contains(e.Incarnation()) {
+			continue
+		}
+		if wait := p.g.limits.pacer.Wait(pacedEndpoint(*e), now); first < 0 || wait < first {
+			first = wait
+		}
+	}
+	return spread(max(first, 0))
+}
+
 // Unresponsive implements forward.Picker.
 func (p *endpointPicker) Unresponsive(target forward.Target) bool {
 	listed := p.g.endpoints.Load().Service(target.Service)
