gossip, gateway, upstream: what the reading of the whole change found

- gossip: a write that is answered with an earlier era than that of the copy is repeated after a delay.
A store whose answers to writes show no era would have been written to without a pause.
- gateway: the flag of the crash store says what it does.
- upstream, engine: one check of status codes instead of two.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cyclamenpoint/cyclamenpoint/upstream"
 )
 
 // Header fields of requests to an engine.
@@ -91,19 +92,6 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
-// minStatus and maxStatus are the bounds of the status codes of HTTP. net/http accepts any three
-// digits.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
-// InvalidStatusError reports an answer with a status code that HTTP does not have.
-type InvalidStatusError struct{ Status int }
-
-// Error names the status.
-func (e *InvalidStatusError) Error() string { return fmt.Sprintf("invalid status %03d", e.Status) }
-
 // SinkError reports that the sink failed, and not the endpoint.
 type SinkError struct {
 	Cause error
@@ -167,8 +155,8 @@
 		return c.callError(err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-		return &BrokenError{Address: c.address, Cause: &InvalidStatusError{Status: resp.StatusCode}}
+	if err := upstream.CheckStatus(resp.StatusCode); err != nil {
+		return &BrokenError{Address: c.address, Cause: err}
 	}
 	if err := sink.Head(resp.StatusCode, forwardedHeaders(resp.Header)); err != nil {
 		return &SinkError{Cause: err}
--- a/engine/status_test.go
+++ b/engine/status_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenpoint/cyclamenpoint/upstream"
 )
 
 // headSink records whether an answer has begun.
@@ -35,7 +37,7 @@
 		}()
 		sink := &headSink{}
 		err = NewClient(l.Addr().String()).Run(context.Background(), Call{Method: http.MethodGet, Path: "/"}, sink)
-		var invalid *InvalidStatusError
+		var invalid *upstream.InvalidStatusError
 		assert.Assert(t, errors.As(err, &invalid), "%s: %v", status, err)
 		assert.Equal(t, sink.status, 0, "the answer has begun")
 		assert.NilError(t, l.Close())
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -45,7 +45,8 @@
 	// table as far as that is known, and never above AsOf.
 	Changed Position `json:"changed"`
 	// Retained holds the rows that the store has lost in a restore, until they are written
-	// again, or until the first answer of the store after Timing.RetainLost. Copies for peers do not contain it.
+	// again, or until the first answer of the store after Timing.RetainLost. Copies for
+	// peers do not contain it.
 	Retained map[string]Row `json:"-"`
 	// digest identifies the content of Rows, zero if it is not known. Changed does not
 	// identify it: the removal of a row leaves no version behind for those who have not
--- a/gateway/crashstore.go
+++ b/gateway/crashstore.go
@@ -127,7 +127,9 @@
 		_, err = s.store.Put(ctx, s.table, s.node, row)
 	}
 	if err != nil {
-		s.restored.CompareAndSwap(false, restored)
+		if restored {
+			s.restored.Store(true)
+		}
 		s.crashes.log.Warn("cannot write the table of crashes", "error", err.Error())
 		return false
 	}
--- a/gossip/registry.go
+++ b/gossip/registry.go
@@ -259,7 +259,8 @@
 			at, err = r.store.Put(ctx, r.table, self.Name, value)
 		}
 		if err == nil && at.Era < r.follower.Current().AsOf.Era {
-			// The answer was late, and the table has been read without the row meanwhile.
+			// The store has been restored since, and may have lost the row.
+			sleep(ctx, registerRetryInterval)
 			continue
 		}
 		if err == nil {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -31,13 +33,21 @@
 
 var errStale = staleError{}
 
-// minStatus and maxStatus are the bounds of the status codes of HTTP. net/http accepts any three
-// digits.
+// minStatus and maxStatus are the bounds of the status codes of HTTP.
 const (
 	minStatus = 100
 	maxStatus = 599
 )
 
+// CheckStatus returns an *InvalidStatusError for a status code that HTTP does not have. net/http
+// accepts any three digits.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return errors.WithStack(&InvalidStatusError{Status: status})
+	}
+	return nil
+}
+
 // InvalidStatusError reports a response with a status code that HTTP does not have.
 type InvalidStatusError struct{ Status int }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -385,8 +385,8 @@
 		if err != nil {
 			return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
 		}
-		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-			return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: errors.WithStack(&InvalidStatusError{Status: resp.StatusCode})}
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return nil, &ExchangeError{Address: c.address, Reused: reused, Cause: err}
 		}
 		if resp.StatusCode >= http.StatusOK && matches(resp) {
 			return resp, nil
