forward: a continuation of a stream may have no Content-Type, or another one of a stream

Why it works: a continuation is refused if it has a type that is neither that of the beginning nor text/event-stream. Without a type its events count, but its end without an event completes nothing, which the added case of TestErrorAfterBrokenStream checks.

Measured: TestFaults, TestErrorAfterBrokenStream and the other tests of answers and streams pass with the race detector.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cyclamenpoint/cyclamenpoint/attempt"
@@ -99,18 +100,27 @@
 	return res
 }
 
+// eventStreamType is the Content-Type of streams.
+const eventStreamType = "text/event-stream"
+
 // relayStream sends the events of a stream to the caller as they arrive.
 func (r *requestState) relayStream(ctx context.Context, conn *upstream.Conn, resp *http.Response) result {
+	contentType := resp.Header.Get("Content-Type")
+	isStream := !r.headSent || contentType == r.contentType || strings.HasPrefix(contentType, eventStreamType)
+	if !isStream && contentType != "" {
+		return failedResult(ctx, "endpoint did not resume the stream: answered "+resp.Status+" of type "+strconv.Quote(contentType))
+	}
 	if r.headSent {
-		if contentType := resp.Header.Get("Content-Type"); contentType != r.contentType {
-			return failedResult(ctx, "endpoint did not resume the stream: answered "+resp.Status+" of type "+strconv.Quote(contentType))
-		}
 		metric.StreamsResumed.Inc()
 	}
+	before := r.events
 	events, skipped := eventstream.NewReader(resp.Body), 0
 	for {
 		event, err := events.Next()
 		r.recordProgress()
+		if err == io.EOF && r.events == before && !isStream {
+			return failedResult(ctx, "endpoint did not resume the stream: answered "+resp.Status+" without a type and an event")
+		}
 		if err == io.EOF && r.events > 0 {
 			releaseConn(conn, resp)
 			return r.finishStream()
--- a/gateway/answers_test.go
+++ b/gateway/answers_test.go
@@ -167,6 +167,7 @@
 		"empty success": func(id string) string {
 			return sealed("200 OK", id, "", "Content-Type: text/plain")
 		},
+		"empty success without a type": func(id string) string { return sealed("200 OK", id, "") },
 		"no content": func(id string) string {
 			return "HTTP/1.1 204 No Content\r\nX-Request-Id: " + id + "\r\nX-Response-Seal: seal\r\n\r\n"
 		},
