gateway: the test of a stated departure does not wait for ever

Its stack: the loop that calls until the leaving endpoint has run one more request.

Cause: a race of the test. It waited for the first of its six streams at the endpoint and then made the endpoint state its departure. A stream that arrived after that, and before the loop counted, showed the departure to the gateway, and no further request went there.

The test now waits until all six streams run. What it checks is the same: one request learns of the departure, and none follows at either gateway.

--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -30,7 +30,8 @@
 		caller := &testGateway{t: t, address: first.address, nextID: 2000 + 10*i}
 		go func() { stream <- caller.call("POST", "/stream/1", "") }()
 	}
-	for len(leaving.Runs()) == 0 {
+	// A stream that begins later could show the departure before the requests below.
+	for len(leaving.Runs()) == 0 || len(leaving.Runs())+len(staying.Runs()) < cap(stream) {
 		time.Sleep(time.Millisecond)
 	}
 	first.store.SetMode(func(string) rowstore.Mode { return rowstore.Unresponsive })
